Serve the thin whole path on real processes

Change: a workspace of three packages. Entry and sidecar over trio, h11 (data) and pynng (control); bundles signed by Ed25519 and rolled by compare-and-swap; samples labelled by interrupting and resuming streams around a swap; stand-ins for the platform; a demo script.

--- /dev/null
+++ b/packages/pistachioctl/src/pistachioctl/__init__.py
@@ -0,0 +1,1 @@
+"""Support the operator's shell of pistachiospar."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: lookups, records and completions, with a check of each answer."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A model engine: completions, weights, cache and load reports."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/instances/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of instances."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/__init__.py
@@ -0,0 +1,1 @@
+"""The key-value service: compare-and-swap, leases, watches, faults."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""A plain service that counts each run."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/serving/__init__.py
@@ -0,0 +1,1 @@
+"""What all stand-ins have in common."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/serving/models.py
@@ -0,0 +1,47 @@
+"""Support handlers that answer whole and set faults by an admin call."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+
+import msgspec
+from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.adapters.http.server import Exchange
+from pistachiospar.const import CONTENT_TYPE_JSON
+
+PATH_FAULTS: Final = "/admin/faults"
+JSON_HEADERS: Final = [("Content-Type", CONTENT_TYPE_JSON)]
+
+Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
+
+
+async def send_json(exchange: Exchange, value: Any, status: int = 200) -> None:
+    """Send a value as JSON."""
+    data = msgspec.json.encode(value)
+    await exchange.send_whole(status, JSON_HEADERS, data)
+
+
+def merge_faults(faults: msgspec.Struct, data: bytes) -> None:
+    """Set the named faults of a stand-in; raises ValidationError."""
+    merged = msgspec.to_builtins(faults)
+    merged.update(msgspec.json.decode(data))
+    checked = msgspec.convert(merged, type=type(faults))
+    for name in faults.__struct_fields__:
+        setattr(faults, name, getattr(checked, name))
+
+
+async def take_faults(
+    faults: msgspec.Struct, request: HttpRequest, exchange: Exchange
+) -> bool:
+    """Serve the admin call; return whether the request was one."""
+    if request.path != PATH_FAULTS:
+        return False
+    try:
+        if request.method == "POST":
+            merge_faults(faults, request.body)
+    except msgspec.MsgspecError as error:
+        await send_json(exchange, str(error), 400)
+        return True
+    await send_json(exchange, faults)
+    return True
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/trainer/__init__.py
@@ -0,0 +1,1 @@
+"""A trainer: puts steps, pulls samples through any entry."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/weights/__init__.py
@@ -0,0 +1,1 @@
+"""The rate-limited weight store."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/__init__.py
@@ -0,0 +1,5 @@
+"""Support a rollout service for reinforcement learning."""
+
+from typing import Final
+
+__version__: Final = "0.1.0"
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters: the ports over h11, pynng and the disk."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Model engines over HTTP, in the OpenAI shape."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/entry_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Entries towards each other, over h11."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
@@ -0,0 +1,15 @@
+"""Constants of the HTTP adapters."""
+
+from typing import Final
+
+from ...const import KIBIBYTE
+from ...const import MEBIBYTE
+
+MAX_HEAD_BYTES: Final = 32 * KIBIBYTE
+MAX_BODY_BYTES: Final = 16 * MEBIBYTE
+RECEIVE_BYTES: Final = 64 * KIBIBYTE
+IDLE_TIMEOUT_S: Final = 60.0
+READ_TIMEOUT_S: Final = 30.0
+POOL_IDLE_S: Final = 20.0
+POOL_MAX_IDLE: Final = 64
+CONNECT_TIMEOUT_S: Final = 2.0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -0,0 +1,276 @@
+"""Support serving HTTP/1.1: one task for each connection."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import replace
+import traceback
+from typing import Final
+
+import h11
+import trio
+
+from ...const import OUTCOME_UNKNOWN
+from ...helpers.problems import Problem
+from ...helpers.problems import refuse_input
+from ...telemetry.logs import log_event
+from .const import IDLE_TIMEOUT_S
+from .const import MAX_BODY_BYTES
+from .const import MAX_HEAD_BYTES
+from .const import READ_TIMEOUT_S
+from .const import RECEIVE_BYTES
+from .errors import LostError
+from .models import Headers
+from .models import HttpRequest
+
+SERVER_ERROR: Final = 500
+
+
+class Exchange:
+    """Answer one request."""
+
+    def __init__(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> None:
+        """Begin with nothing sent."""
+        self._connection = connection
+        self._stream = stream
+        self.started = False
+        self.closing = False
+        self._head: bytes = b""
+
+    async def send_whole(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Send a whole answer in one segment."""
+        length = ("Content-Length", str(len(body)))
+        self._begin(status, [*headers, length])
+        head = self._head
+        self._head = b""
+        data = self._connection.send(h11.Data(data=body)) or b""
+        end = self._connection.send(h11.EndOfMessage()) or b""
+        await self._stream.send_all(head + data + end)
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Start an answer whose length is not known."""
+        self._begin(status, headers)
+        head = self._head
+        self._head = b""
+        await self._stream.send_all(head)
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        data = self._connection.send(h11.Data(data=chunk)) or b""
+        await self._stream.send_all(data)
+
+    async def finish(self, trailers: Headers | None = None) -> None:
+        """End the body; without this call the answer never looks whole."""
+        end = h11.EndOfMessage(headers=trailers or [])
+        await self._stream.send_all(self._connection.send(end) or b"")
+
+    async def send_problem(
+        self, problem: Problem, headers: Headers | None = None
+    ) -> None:
+        """Send a problem document."""
+        all_headers = [*problem.headers(), *(headers or [])]
+        await self.send_whole(problem.status, all_headers, problem.body())
+
+    def _begin(self, status: int, headers: Headers) -> None:
+        """Encode the head."""
+        self.started = True
+        if self.closing:
+            headers = [*headers, ("Connection", "close")]
+        response = h11.Response(status_code=status, headers=headers)
+        self._head = self._connection.send(response) or b""
+
+
+Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
+
+
+class HttpServer:
+    """Serve HTTP/1.1 connections until told to stop."""
+
+    def __init__(
+        self, handler: Handler, max_body_bytes: int = MAX_BODY_BYTES
+    ) -> None:
+        """Begin with no connection."""
+        self._handler = handler
+        self._max_body_bytes = max_body_bytes
+        self._idle: set[trio.CancelScope] = set()
+        self.stopping = False
+        self.active = 0
+
+    def stop(self) -> None:
+        """Close idle connections; the others close after their answer."""
+        self.stopping = True
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def handle_connection(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until it ends."""
+        connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        try:
+            while await self._serve_one(connection, stream):
+                connection.start_next_cycle()
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.LocalProtocolError,
+            LostError,
+        ):
+            pass
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_one(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> bool:
+        """Serve one request; return whether the connection lives on."""
+        exchange = Exchange(connection, stream)
+        try:
+            request = await self._read_request(connection, stream)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(exchange, connection, error)
+            return False
+        if request is None:
+            return False
+        if isinstance(request, Problem):
+            exchange.closing = True
+            await exchange.send_problem(request)
+            return False
+        self.active += 1
+        try:
+            await self._run_handler(connection, stream, request, exchange)
+        finally:
+            self.active -= 1
+        if connection.our_state is not h11.DONE:
+            return False
+        return connection.their_state is h11.DONE and not self.stopping
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        connection: h11.Connection,
+        error: h11.RemoteProtocolError,
+    ) -> None:
+        """Answer a malformed request."""
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        exchange.closing = True
+        status = error.error_status_hint
+        kind = "oversized-head" if status == 431 else "malformed-request"
+        await exchange.send_problem(refuse_input(kind, str(error), status))
+
+    async def _run_handler(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        request: HttpRequest,
+        exchange: Exchange,
+    ) -> None:
+        """Run the handler; cancel it when the caller goes away."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._watch_caller, connection, stream, nursery.cancel_scope
+            )
+            exchange.closing = self.stopping
+            await self._run_guarded(request, exchange)
+            nursery.cancel_scope.cancel()
+
+    async def _run_guarded(
+        self, request: HttpRequest, exchange: Exchange
+    ) -> None:
+        """Run the handler; a fault of it ends only this request."""
+        try:
+            await self._handler(request, exchange)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ):
+            return
+        except Exception as error:
+            log_event("handler_failed", path=request.path, error=repr(error))
+            traceback.print_exc()
+            if not exchange.started:
+                exchange.closing = True
+                problem = Problem(SERVER_ERROR, "internal-error", "see log")
+                await exchange.send_problem(
+                    replace(problem, outcome=OUTCOME_UNKNOWN)
+                )
+
+    async def _watch_caller(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        scope: trio.CancelScope,
+    ) -> None:
+        """Cancel the scope when the caller closes its side."""
+        try:
+            data = await stream.receive_some(RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        connection.receive_data(bytes(data))
+        if not data:
+            scope.cancel()
+
+    async def _read_request(
+        self, connection: h11.Connection, stream: trio.abc.Stream
+    ) -> HttpRequest | Problem | None:
+        """Read a whole request; None when the caller is gone."""
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                if connection.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(
+                        status_code=100, headers=[]
+                    )
+                    await stream.send_all(connection.send(go_on) or b"")
+                if not await self._receive(connection, stream, head is None):
+                    return None
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._max_body_bytes:
+                    detail = f"over {self._max_body_bytes} bytes"
+                    return refuse_input("oversized-body", detail, 413)
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _make_request(head, bytes(body))
+            else:
+                return None
+
+    async def _receive(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        idle: bool,
+    ) -> bool:
+        """Receive bytes; return whether to go on."""
+        timeout = IDLE_TIMEOUT_S if idle else READ_TIMEOUT_S
+        with trio.move_on_after(timeout) as scope:
+            if idle:
+                self._idle.add(scope)
+                if self.stopping:
+                    scope.cancel()
+            try:
+                data = await stream.receive_some(RECEIVE_BYTES)
+            finally:
+                self._idle.discard(scope)
+            connection.receive_data(bytes(data))
+            return bool(data) or not idle
+        return False
+
+
+def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    """Make the request from its parts."""
+    target = head.target.decode("ascii", "replace")
+    path, _, query = target.partition("?")
+    headers = {
+        name.decode("ascii"): value.decode("latin-1")
+        for name, value in head.headers
+    }
+    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/instance_list/__init__.py
@@ -0,0 +1,1 @@
+"""The instance list over HTTP."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/plain/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services over HTTP."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/__init__.py
@@ -0,0 +1,1 @@
+"""The link over h11 (requests) and pynng (control)."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The admin port of each process: health, state, metrics, explain."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Bundles: format, signatures, the version in force."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/bundle/const.py
@@ -0,0 +1,19 @@
+"""Constants of bundles."""
+
+from typing import Final
+
+PREFIX: Final = "/pistachiospar/"
+KEY_POINTER: Final = PREFIX + "live/pointer"
+PREFIX_LIVE: Final = PREFIX + "live/"
+PREFIX_BUNDLES: Final = PREFIX + "bundles/"
+PREFIX_SIGNATURES: Final = PREFIX + "signatures/"
+PREFIX_EPOCHS: Final = PREFIX + "epochs/"
+PREFIX_HISTORY: Final = PREFIX + "history/"
+
+SHARE_SUM: Final = 1.0
+SHARE_TOLERANCE: Final = 1e-6
+PUBLIC_KEY_BYTES: Final = 32
+
+WATCH_RETRY_FIRST_S: Final = 0.2
+WATCH_RETRY_MOST_S: Final = 2.0
+FRESH_KNOWLEDGE_S: Final = 15.0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process, between callers and sidecars."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/entry/const.py
@@ -0,0 +1,12 @@
+"""Constants of the entry process."""
+
+from typing import Final
+
+PATH_UPSTREAMS: Final = "upstreams"
+PATH_TRAINERS: Final = "trainers"
+PATH_STEPS: Final = "steps"
+PATH_SAMPLES: Final = "samples"
+PATH_WEIGHTS: Final = "weights"
+MAX_NAME_CHARACTERS: Final = 128
+REQUEST_ID_BYTES: Final = 8
+DRAIN_NOTICE_S: Final = 1.0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/entry/coordinator.py
@@ -0,0 +1,112 @@
+"""Support an entry's parts, over any adapters."""
+
+from random import Random
+
+import trio
+
+from ..bundle.coordinator import BundleKeeper
+from ..helpers.explanations import Explanations
+from ..live.coordinator import LiveCoordinator
+from ..live.lease import EntryLease
+from ..live.models import EntryRecord
+from ..membership.coordinator import LinkFactory
+from ..membership.coordinator import MembershipCoordinator
+from ..ports.instances import InstanceList
+from ..ports.kv import KeyValue
+from ..requests.coordinator import RequestCoordinator
+from ..settings.models import EntrySettings
+from ..telemetry.metrics import Metrics
+from ..trainers.coordinator import StepCoordinator
+from ..trainers.dispatch import SampleDispatcher
+from ..trainers.models import StepOwner
+from ..trainers.scatter import PeerFactory
+from ..trainers.scatter import Scatterer
+from ..trainers.storage import StepStorage
+from ..weights.coordinator import WeightsAnnouncer
+from .routes import CallerHandler
+
+
+class EntryCoordinator:
+    """Hold the parts of an entry and run their tasks."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        kv: KeyValue,
+        instance_list: InstanceList,
+        make_link: LinkFactory,
+        make_peer: PeerFactory,
+        rng: Random,
+    ) -> None:
+        """Wire the parts."""
+        common = settings.process
+        self.rng = rng
+        self.metrics = Metrics()
+        self.explanations = Explanations()
+        self.keeper = BundleKeeper(common.first_partners)
+        self.record = EntryRecord(
+            name=common.name,
+            zone=common.zone,
+            region=settings.region,
+            peer=str(settings.peer),
+            admin=str(common.admin),
+        )
+        self.live = LiveCoordinator(kv, self.keeper, self.metrics, rng)
+        self.lease = EntryLease(kv, self.record, self.metrics, rng)
+        self.membership = MembershipCoordinator(
+            self.record,
+            instance_list,
+            make_link,
+            self.keeper,
+            self.live,
+            self.metrics,
+            rng,
+        )
+        self.requests = RequestCoordinator(
+            common.zone, self.membership, self.explanations, self.metrics, rng
+        )
+        self.dispatcher = SampleDispatcher(
+            common.zone,
+            self.membership,
+            self.keeper,
+            self.live,
+            self.metrics,
+            rng,
+        )
+        owner = StepOwner(self.record.name, self.record.peer)
+        self.steps = StepCoordinator(
+            self.keeper,
+            self.live,
+            self.dispatcher,
+            Scatterer(self.record, self.live, make_peer, self.metrics),
+            StepStorage(kv, owner, self.metrics),
+            self.metrics,
+            rng,
+        )
+        self.handler = CallerHandler(
+            self.keeper,
+            self.requests,
+            self.steps,
+            WeightsAnnouncer(kv, self.live),
+            self.metrics,
+        )
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run all background tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.steps.run)
+            nursery.start_soon(self.live.run_watch)
+            nursery.start_soon(self.lease.run)
+            nursery.start_soon(self.membership.run)
+            task_status.started()
+
+    def is_ready(self) -> bool:
+        """Return whether a bundle is in force and a sidecar is reached."""
+        if self.keeper.bundle() is None:
+            return False
+        peers = self.membership.peers.values()
+        return any(peer.view.is_usable() for peer in peers)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by all parts of pistachiospar."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/helpers/findings.py
@@ -0,0 +1,37 @@
+"""Support findings: faults in an input, collected with their place."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """Hold one fault of an input and where it is."""
+
+    file: str
+    path: str
+    line: int
+    message: str
+
+    def __str__(self) -> str:
+        """Return `file:line: path: message`."""
+        return f"{self.file}:{self.line}: {self.path}: {self.message}"
+
+
+@dataclass(slots=True)
+class Findings:
+    """Collect the findings of one input, to be reported together."""
+
+    items: list[Finding] = field(default_factory=list)
+
+    def add(self, file: str, path: str, line: int, message: str) -> None:
+        """Add one finding."""
+        self.items.append(Finding(file, path, line, message))
+
+    def __bool__(self) -> bool:
+        """Return whether anything was found."""
+        return bool(self.items)
+
+    def __str__(self) -> str:
+        """Return one line per finding."""
+        return "\n".join(str(item) for item in self.items)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/helpers/validation.py
@@ -0,0 +1,34 @@
+"""Support the step from a parsed document to a validated model."""
+
+from typing import TypeVar
+
+import pydantic
+from result import Err
+from result import Ok
+from result import Result
+
+from .findings import Findings
+from .jsonc import Document
+
+Model = TypeVar("Model", bound=pydantic.BaseModel)
+
+
+class StrictModel(pydantic.BaseModel):
+    """Refuse unknown keys, so that a misspelt setting is found."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+def validate_document(
+    document: Document, model: type[Model]
+) -> Result[Model, Findings]:
+    """Validate a document; every fault is a finding with its line."""
+    try:
+        return Ok(model.model_validate(document.value))
+    except pydantic.ValidationError as error:
+        findings = Findings()
+        for fault in error.errors():
+            path = ".".join(str(part) for part in fault["loc"])
+            line = document.find_line(path)
+            findings.add(document.file, path, line, fault["msg"])
+        return Err(findings)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/link/__init__.py
@@ -0,0 +1,1 @@
+"""The link between an entry and a sidecar: messages and codec."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/live/__init__.py
@@ -0,0 +1,1 @@
+"""What all entries watch: the pointer, the entries, announced weights."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/membership/const.py
@@ -0,0 +1,22 @@
+"""Constants of membership."""
+
+from typing import Final
+
+POLL_S: Final = 1.0
+POLL_JITTER: Final = 0.2
+
+ENTRIES_PER_INSTANCE: Final = 4
+SMALL_UPSTREAM: Final = 16
+
+BEAT_S: Final = 1.0
+BEAT_MOST_S: Final = 5.0
+BEATS_PER_S: Final = 24.0
+BEAT_JITTER: Final = 0.1
+RETRY_FIRST_S: Final = 0.2
+RETRY_MOST_S: Final = 2.0
+MISSED_BEATS: Final = 2
+RESUBSET_PER_S: Final = 20.0
+
+QUIET_S: Final = 1.5
+SLOW_START_S: Final = 10.0
+GONE_MEMORY_S: Final = 300.0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports: protocols of the platform, of upstreams and of peers."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -0,0 +1,105 @@
+"""Port of the platform's key-value service."""
+
+from collections.abc import AsyncGenerator
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from result import Result
+
+
+class KvFault(Enum):
+    """Say what is known of a call that failed."""
+
+    NOT_SENT = "not-sent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class KvError:
+    """Describe a failed call; UNKNOWN may have taken effect."""
+
+    fault: KvFault
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class KvItem:
+    """Hold a key, its value and the revision that last changed it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvWrite:
+    """Tell whether a compare-and-swap won; `revision` is the store's."""
+
+    won: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvEvent:
+    """Tell a change of a key; `value` is None when it was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvPut:
+    """Hold a write that goes with another one."""
+
+    key: str
+    value: bytes
+
+
+class KeyValue(Protocol):
+    """Reach the key-value service; no call raises for its faults."""
+
+    async def list_items(
+        self, prefix: str
+    ) -> Result[tuple[list[KvItem], int], KvError]:
+        """Return the items below a prefix and the store's revision."""
+
+    async def get_item(self, key: str) -> Result[KvItem | None, KvError]:
+        """Return one item, or None."""
+
+    async def put_if(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease: int = 0,
+        also: Sequence[KvPut] = (),
+    ) -> Result[KvWrite, KvError]:
+        """Write if the key's revision is as expected; 0 means absent.
+
+        `also` is written in the same transaction.
+        """
+
+    async def put_item(
+        self, key: str, value: bytes, lease: int = 0
+    ) -> Result[int, KvError]:
+        """Write without condition; return the store's revision."""
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
+        """Return a new lease's number."""
+
+    async def keep_lease(self, lease: int) -> Result[float, KvError]:
+        """Renew a lease; return the seconds left, 0 when it lapsed."""
+
+    async def revoke_lease(self, lease: int) -> Result[None, KvError]:
+        """Give a lease back."""
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
+        """Yield changes from a revision on.
+
+        An empty list is a progress notice; the first Err is the last item.
+        """
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/process/__init__.py
@@ -0,0 +1,1 @@
+"""What entry and sidecar processes have in common."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/process/listening.py
@@ -0,0 +1,30 @@
+"""Support listening sockets and signals."""
+
+import signal
+
+import trio
+
+from ..adapters.http.client import Address
+from ..adapters.http.server import HttpServer
+from .const import LISTEN_BACKLOG
+
+
+async def serve_http(
+    server: HttpServer,
+    address: Address,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve HTTP on an address until cancelled; raises OSError."""
+    listeners = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=LISTEN_BACKLOG
+    )
+    task_status.started()
+    await trio.serve_listeners(server.handle_connection, listeners)
+
+
+async def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests: where they go, what is retried, what is said."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
@@ -0,0 +1,342 @@
+"""Support forwarding: each request reaches one instance, or is refused."""
+
+from random import Random
+import time
+
+from result import Err
+import trio
+
+from . import const
+from ..const import HEADER_REQUEST_ID
+from ..const import MS_PER_S
+from ..const import OUTCOME_UNKNOWN
+from ..helpers.explanations import Explanations
+from ..helpers.problems import Problem
+from ..helpers.problems import refuse_not_run
+from ..helpers.problems import report_unknown
+from ..link.errors import LinkLostError
+from ..link.errors import LinkNotSentError
+from ..link.messages import Answered
+from ..link.messages import Failed
+from ..link.messages import Refused
+from ..link.messages import RunOrder
+from ..link.messages import Settled
+from ..link.messages import SettleOrder
+from ..membership.coordinator import MembershipCoordinator
+from ..membership.peer import SidecarPeer
+from . import outliers
+from ..ports.caller import CallerSink
+from ..ports.link import RunStream
+from ..telemetry.metrics import Metrics
+from .choice import choose_instance
+from .choice import choose_pinned
+from .models import AttemptResult
+from .models import CallerRequest
+from .models import Choice
+from .models import Chosen
+from .models import Cut
+from .models import Delivered
+from .models import GiveUp
+from .models import Lost
+from .models import NoInstance
+from .models import NotRun
+from .models import RetryAt
+from .orders import count_in_flight
+from .orders import make_order
+from .orders import track_attempt
+from .relay import AnswerRelay
+from .retry import decide_retry
+from .retry import RetryBudget
+from .settle import Settler
+
+
+class AnswerCutError(Exception):
+    """Tell that an answer broke off; the caller's stream is not ended."""
+
+
+class RequestCoordinator:
+    """Forward callers' requests to sidecars."""
+
+    def __init__(
+        self,
+        zone: str,
+        membership: MembershipCoordinator,
+        explanations: Explanations,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Take the links."""
+        self._zone = zone
+        self._membership = membership
+        self._explanations = explanations
+        self._metrics = metrics
+        self._rng = rng
+        self._budget = RetryBudget()
+        self._settler = Settler(rng)
+
+    async def forward(self, request: CallerRequest, sink: CallerSink) -> None:
+        """Answer a request; raises AnswerCutError when it breaks off."""
+        self._budget.earn()
+        avoid: set[str] = set()
+        attempts = 0
+        while True:
+            choice = self._choose(request, avoid)
+            if isinstance(choice, NoInstance):
+                await self._give_up(request, choice, sink)
+                return
+            self._explain(request, f"chose {choice.name}", choice.reason)
+            attempts += 1
+            peer = await self._find_peer(request, choice)
+            if peer is None:
+                reason = f"{choice.ask_first} held the key before"
+                await self._say_unknown(request, reason, sink)
+                return
+            result = await self._try_once(request, peer, attempts, sink)
+            match result:
+                case Delivered():
+                    return
+                case Cut(reason):
+                    self._explain(request, "cut", reason)
+                    raise AnswerCutError(reason)
+            avoid.add(choice.name)
+            self._explain(request, type(result).__name__, result.reason)
+            if isinstance(result, Lost) and not request.repeatable:
+                await self._say_unknown(request, result.reason, sink)
+                return
+            if not await self._pause(request, result, attempts, sink):
+                return
+
+    def _choose(self, request: CallerRequest, avoid: set[str]) -> Choice:
+        """Choose where a request goes."""
+        now = trio.current_time()
+        upstream = request.upstream
+        views = self._membership.list_views(upstream.name)
+        if request.pinned:
+            ttl_s = 2.0 * upstream.max_timeout_ms / MS_PER_S
+            gone = self._membership.list_gone(upstream.name, now, ttl_s)
+            return choose_pinned(views, gone, request, ttl_s, time.time())
+        return choose_instance(
+            views, request, avoid, self._zone, now, self._rng
+        )
+
+    async def _find_peer(
+        self, request: CallerRequest, choice: Chosen
+    ) -> SidecarPeer | None:
+        """Return the link to use; None when a moved key is in doubt."""
+        peers = self._membership.peers
+        if not choice.ask_first:
+            return peers[choice.name]
+        before = peers.get(choice.ask_first)
+        if before is None:
+            return None
+        ask = SettleOrder(
+            request.request_id, request.caller.name, request.key, True
+        )
+        answer = await before.link.settle(ask)
+        if isinstance(answer, Err):
+            return None
+        if answer.ok_value.settled is Settled.NOT_RUN:
+            return peers[choice.name]
+        self._explain(request, f"chose {before.view.name}", "holds the key")
+        return before
+
+    async def _pause(
+        self,
+        request: CallerRequest,
+        result: NotRun | Lost,
+        attempts: int,
+        sink: CallerSink,
+    ) -> bool:
+        """Wait before the next attempt; False when the answer is given."""
+        hint_s = 0.0
+        if isinstance(result, NotRun) and request.pinned:
+            hint_s = result.retry_after_s
+        now = trio.current_time()
+        decision = decide_retry(
+            self._budget, attempts, hint_s, now, request.deadline, self._rng
+        )
+        match decision:
+            case RetryAt(delay_s, reason):
+                self._metrics.count("retries")
+                self._explain(request, "retry", reason)
+                await trio.sleep(delay_s)
+                return True
+            case GiveUp(reason):
+                self._explain(request, "gave up", reason)
+        if isinstance(result, NotRun):
+            after_s = max(result.retry_after_s, 0.1)
+            problem = refuse_not_run("not-run", result.reason, after_s)
+        else:
+            problem = _make_unknown(request, result.reason)
+        await self._send_problem(request, problem, sink)
+        return False
+
+    async def _try_once(
+        self,
+        request: CallerRequest,
+        peer: SidecarPeer,
+        number: int,
+        sink: CallerSink,
+    ) -> AttemptResult:
+        """Make one attempt; settle it when its answer is lost."""
+        started_at = trio.current_time()
+        order_id = f"{request.request_id}.{number}"
+        order = make_order(request, peer, order_id, started_at)
+        if order is None:
+            return NotRun("the deadline has passed", 1.0)
+        with count_in_flight(peer, request.tokens):
+            result = await self._run_order(request, peer, order, sink)
+            if not request.repeatable:
+                result = await self._recover(
+                    request, peer, order, result, sink
+                )
+        self._observe(peer, request, result, started_at)
+        return result
+
+    async def _recover(
+        self,
+        request: CallerRequest,
+        peer: SidecarPeer,
+        order: RunOrder,
+        result: AttemptResult,
+        sink: CallerSink,
+    ) -> AttemptResult:
+        """Settle an attempt whose answer was lost, and fetch the answer.
+
+        The same key never runs twice at one incarnation of a sidecar, so
+        asking again with it can only bring the answer of the first run.
+        """
+        number = 0
+        while isinstance(result, Lost) and not result.settled:
+            settled = await self._settler.settle(peer, order, request)
+            if settled is not None:
+                self._explain(request, "settled", settled.reason)
+                return settled
+            number += 1
+            order_id = f"{order.request_id}.{number}"
+            again = make_order(request, peer, order_id, trio.current_time())
+            if again is None or again.incarnation != order.incarnation:
+                return Lost("dispatched; its answer was not had", True)
+            self._metrics.count("answers_fetched_again")
+            result = await self._run_order(request, peer, again, sink)
+            if isinstance(result, NotRun):
+                return Lost(f"dispatched; then {result.reason}", True)
+        return result
+
+    async def _run_order(
+        self,
+        request: CallerRequest,
+        peer: SidecarPeer,
+        order: RunOrder,
+        sink: CallerSink,
+    ) -> AttemptResult:
+        """Send an order and pass its answer on."""
+        begun = False
+        try:
+            with track_attempt(
+                peer, order.request_id, trio.current_time()
+            ) as attempt:
+                limit = request.deadline + const.DEADLINE_MARGIN_S
+                attempt.scope.deadline = limit
+                relay = AnswerRelay(request, attempt, sink, self._metrics)
+                try:
+                    with attempt.scope:
+                        async with peer.link.run(
+                            order, request.body
+                        ) as stream:
+                            return await self._take_reply(relay, stream, peer)
+                finally:
+                    begun = relay.begun
+            reason = "silent" if attempt.silent else "deadline passed"
+        except LinkNotSentError as error:
+            peer.view.missed = max(peer.view.missed, 1)
+            peer.nudge()
+            return NotRun(str(error), 0.5, True)
+        except LinkLostError as error:
+            peer.nudge()
+            reason = str(error)
+        return Cut(reason) if begun else Lost(reason)
+
+    async def _take_reply(
+        self, relay: AnswerRelay, stream: RunStream, peer: SidecarPeer
+    ) -> AttemptResult:
+        """Act on the head of an answer."""
+        match stream.reply:
+            case Answered() as answered:
+                await relay.pass_on(answered, stream)
+                return Delivered()
+            case Refused() as refused:
+                if refused.draining:
+                    peer.view.draining = True
+                return NotRun(refused.reason, refused.retry_after_s)
+            case Failed() as failed:
+                return Lost(failed.reason, True)
+
+    def _observe(
+        self,
+        peer: SidecarPeer,
+        request: CallerRequest,
+        result: AttemptResult,
+        started_at: float,
+    ) -> None:
+        """Take a result into account for later choices."""
+        now = trio.current_time()
+        view = peer.view
+        match result:
+            case Delivered():
+                tokens = max(1, request.tokens)
+                outliers.observe_success(view, (now - started_at) / tokens)
+                outliers.forgive(view)
+            case NotRun(unreachable=False):
+                return
+            case _:
+                outliers.observe_failure(view)
+        peers = self._membership.list_views(request.upstream.name)
+        reason = outliers.decide_ejection(view, peers, now, self._rng)
+        if reason:
+            self._metrics.count("ejections")
+            self._explain(request, f"ejected {view.name}", reason)
+
+    async def _give_up(
+        self, request: CallerRequest, choice: NoInstance, sink: CallerSink
+    ) -> None:
+        """Answer that a request can go nowhere."""
+        if choice.doubtful:
+            problem = _make_unknown(request, choice.reason)
+        else:
+            problem = refuse_not_run(
+                "no-instance", choice.reason, choice.retry_after_s
+            )
+        self._explain(request, "refused", choice.reason)
+        await self._send_problem(request, problem, sink)
+
+    async def _say_unknown(
+        self, request: CallerRequest, reason: str, sink: CallerSink
+    ) -> None:
+        """Answer that a request may have been run."""
+        problem = _make_unknown(request, reason)
+        await self._send_problem(request, problem, sink)
+
+    async def _send_problem(
+        self, request: CallerRequest, problem: Problem, sink: CallerSink
+    ) -> None:
+        """Send a problem document."""
+        self._metrics.count(f"answered_{problem.outcome}")
+        await sink.send_problem(
+            problem, [(HEADER_REQUEST_ID, request.request_id)]
+        )
+
+    def _explain(
+        self, request: CallerRequest, decision: str, reason: str
+    ) -> None:
+        """Note a decision for `explain`."""
+        self._explanations.add(
+            request.request_id, trio.current_time(), decision, reason
+        )
+
+
+def _make_unknown(request: CallerRequest, reason: str) -> Problem:
+    """Make the problem of a request that may have been run."""
+    if request.deadline <= trio.current_time():
+        return Problem(504, "deadline-passed", reason, OUTCOME_UNKNOWN)
+    return report_unknown("outcome-unknown", reason)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/requests/orders.py
@@ -0,0 +1,69 @@
+"""Support making run orders and counting them as in flight."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from hashlib import sha256
+
+from . import const
+from ..const import MS_PER_S
+from ..link.messages import RunOrder
+from ..membership.attempts import Attempt
+from ..membership.peer import SidecarPeer
+from .models import CallerRequest
+
+
+def make_order(
+    request: CallerRequest, peer: SidecarPeer, order_id: str, now: float
+) -> RunOrder | None:
+    """Make the order of one attempt; None when it is too late."""
+    timeout_ms = int((request.deadline - now) * MS_PER_S)
+    if timeout_ms <= 0:
+        return None
+    status = peer.view.status
+    digest = ""
+    if request.key:
+        digest = sha256(request.body).hexdigest()[: const.DIGEST_CHARACTERS]
+    return RunOrder(
+        request_id=order_id,
+        incarnation=status.incarnation if status else "",
+        upstream=request.upstream.name,
+        kind=request.kind,
+        method=request.method,
+        path=request.path,
+        caller=request.caller.name,
+        partner=request.caller.partner,
+        priority=request.caller.priority,
+        timeout_ms=timeout_ms,
+        tokens=request.tokens,
+        repeatable=request.repeatable,
+        key=request.key,
+        model=request.model,
+        min_version=request.min_version,
+        content_type=request.content_type,
+        body_digest=digest,
+    )
+
+
+@contextmanager
+def count_in_flight(peer: SidecarPeer, tokens: int) -> Iterator[None]:
+    """Count a request as in flight at an instance."""
+    peer.view.in_flight += 1
+    peer.view.in_flight_tokens += tokens
+    try:
+        yield
+    finally:
+        peer.view.in_flight -= 1
+        peer.view.in_flight_tokens -= tokens
+
+
+@contextmanager
+def track_attempt(
+    peer: SidecarPeer, order_id: str, now: float
+) -> Iterator[Attempt]:
+    """Let the link's heartbeats ask after an attempt."""
+    attempt = Attempt(order_id, now)
+    peer.attempts[order_id] = attempt
+    try:
+        yield attempt
+    finally:
+        peer.attempts.pop(order_id, None)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/diagnostics.py
@@ -0,0 +1,81 @@
+"""Support the state dump of a sidecar."""
+
+import msgspec
+
+from ..admin.models import BundleState
+from ..bundle.const import FRESH_KNOWLEDGE_S
+from ..bundle.coordinator import BundleKeeper
+from ..link.messages import HeldVersion
+from .coordinator import SidecarCoordinator
+
+
+class SidecarState(msgspec.Struct, frozen=True):
+    """Hold the state of a sidecar; times are in seconds."""
+
+    role: str
+    name: str
+    upstream: str
+    incarnation: str
+    uptime_s: float
+    ready: bool
+    draining: bool
+    slots: int
+    running: int
+    queued: int
+    queued_tokens: int
+    tokens_per_s_per_slot: float
+    records: int
+    held: list[HeldVersion]
+    bundle: BundleState
+    counts: dict[str, int]
+
+
+def describe_bundle(
+    keeper: BundleKeeper, heard_at: float | None, now: float, wall_s: float
+) -> BundleState:
+    """Return which bundle is in force and how fresh that knowledge is."""
+    envelope = keeper.envelope
+    in_force_for = None
+    in_force_at = None
+    if keeper.in_force_at is not None:
+        in_force_for = round(now - keeper.in_force_at, 3)
+        in_force_at = wall_s - (now - keeper.in_force_at)
+    age = None if heard_at is None else round(now - heard_at, 3)
+    return BundleState(
+        version=keeper.version,
+        digest=envelope.release.digest() if envelope else "",
+        epoch=keeper.epoch,
+        in_force_for_s=in_force_for,
+        knowledge_age_s=age,
+        current=age is not None and age < FRESH_KNOWLEDGE_S,
+        rolled_at_s=envelope.rolled_at_s if envelope else 0.0,
+        in_force_at_s=in_force_at,
+    )
+
+
+def dump_sidecar(
+    coordinator: SidecarCoordinator,
+    heard_at: float | None,
+    now: float,
+    wall_s: float,
+) -> SidecarState:
+    """Return the state of a sidecar."""
+    status = coordinator.make_status(now)
+    return SidecarState(
+        role="sidecar",
+        name=coordinator.name,
+        upstream=coordinator.upstream_name,
+        incarnation=coordinator.incarnation,
+        uptime_s=status.uptime_s,
+        ready=status.ready,
+        draining=status.draining,
+        slots=status.slots,
+        running=status.running,
+        queued=status.queued,
+        queued_tokens=status.queued_tokens,
+        tokens_per_s_per_slot=round(coordinator.gate.rate.per_slot, 3),
+        records=len(coordinator.records),
+        held=status.held,
+        bundle=describe_bundle(coordinator.keeper, heard_at, now, wall_s),
+        counts=dict(coordinator.metrics.counts),
+    )
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/process.py
@@ -0,0 +1,113 @@
+"""Support the sidecar process: wiring, serving, graceful shutdown."""
+
+import gc
+from random import Random
+import time
+
+import msgspec
+import trio
+
+from ..adapters.engine.client import HttpEngine
+from ..adapters.http.server import HttpServer
+from ..adapters.plain.client import HttpUpstream
+from ..adapters.sidecar_link.server import serve_control
+from ..adapters.sidecar_link.server import SidecarHandler
+from ..admin.server import AdminHandler
+from ..bundle.coordinator import BundleKeeper
+from ..process.const import DRAIN_POLL_S
+from ..process.const import GC_THRESHOLD
+from ..process.const import STOP_GRACE_S
+from ..process.listening import serve_http
+from ..process.listening import wait_for_stop
+from ..settings.models import SidecarSettings
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import MetricsExporter
+from .coordinator import SidecarCoordinator
+from .diagnostics import dump_sidecar
+from .gate import Gate
+
+
+class SidecarProcess:
+    """Hold all parts of one sidecar."""
+
+    def __init__(self, settings: SidecarSettings, now: float) -> None:
+        """Wire the parts."""
+        self._settings = settings
+        common = settings.process
+        keeper = BundleKeeper(common.first_partners)
+        engine = None
+        upstream = HttpUpstream(settings.upstream_address)
+        if settings.is_engine:
+            engine = HttpEngine(settings.upstream_address)
+            upstream = engine
+        self.coordinator = SidecarCoordinator(
+            name=common.name,
+            upstream_name=settings.upstream,
+            upstream=upstream,
+            engine=engine,
+            keeper=keeper,
+            gate=Gate(settings.slots, settings.queue_limit),
+            rng=Random(),
+            now=now,
+        )
+        self._server = HttpServer(SidecarHandler(self.coordinator).handle)
+        exporter = MetricsExporter(self.coordinator.metrics, common.name)
+        self._admin = HttpServer(
+            AdminHandler(
+                exporter,
+                self.coordinator.explanations,
+                self._is_ready,
+                self._dump,
+            ).handle
+        )
+        self._add_gauges()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then drain."""
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD)
+        settings = self._settings
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.coordinator.run_tasks)
+            await nursery.start(serve_http, self._server, settings.data)
+            await nursery.start(
+                serve_control, self.coordinator, settings.control
+            )
+            await nursery.start(
+                serve_http, self._admin, settings.process.admin
+            )
+            log_event("started", incarnation=self.coordinator.incarnation)
+            await wait_for_stop()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+
+    async def _drain(self) -> None:
+        """Finish what is in flight, hand the rest back."""
+        log_event("draining", running=self.coordinator.gate.running)
+        self.coordinator.drain()
+        self._server.stop()
+        with trio.move_on_after(self._settings.process.drain_s):
+            while self._server.active or self.coordinator.gate.running:
+                await trio.sleep(DRAIN_POLL_S)
+        await trio.sleep(STOP_GRACE_S)
+        log_event("stopped", cut=self.coordinator.gate.running)
+
+    def _is_ready(self) -> bool:
+        """Return whether new work is welcome."""
+        status = self.coordinator.make_status(trio.current_time())
+        return status.ready and not status.draining
+
+    def _dump(self, now: float) -> msgspec.Struct:
+        """Return the state."""
+        heard_at = self.coordinator.heard_at
+        return dump_sidecar(self.coordinator, heard_at, now, time.time())
+
+    def _add_gauges(self) -> None:
+        """Register what is read on each scrape."""
+        coordinator = self.coordinator
+        metrics = coordinator.metrics
+        metrics.add_gauge("running", lambda: coordinator.gate.running)
+        metrics.add_gauge("queued", lambda: len(coordinator.gate.queue))
+        metrics.add_gauge("records", lambda: len(coordinator.records))
+        metrics.add_gauge("bundle_version", lambda: coordinator.keeper.version)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: structured logs and metrics."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/trainers/__init__.py
@@ -0,0 +1,1 @@
+"""Trainers' steps: scattered, gathered, each sample delivered once."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
@@ -0,0 +1,205 @@
+"""Support running one sample at one sampler."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from ..bundle.coordinator import BundleKeeper
+from ..bundle.models import Caller
+from . import const
+from ..link.errors import LinkError
+from ..link.messages import Answered
+from ..link.messages import Kind
+from ..link.messages import Refused
+from ..live.coordinator import LiveCoordinator
+from ..membership.coordinator import MembershipCoordinator
+from ..membership.models import InstanceView
+from ..membership.peer import SidecarPeer
+from ..requests.choice import choose_instance
+from ..requests.const import BYTES_PER_TOKEN
+from ..requests.models import CallerRequest
+from ..requests.models import NoInstance
+from ..requests.orders import count_in_flight
+from ..requests.orders import make_order
+from ..requests.orders import track_attempt
+from ..requests import outliers
+from ..sidecar.models import GeneratedSample
+from ..sidecar.models import SampleRequest
+from ..telemetry.metrics import Metrics
+from .decisions import compute_floor
+from .models import JobsOrder
+from .models import Sample
+from .models import SampleJob
+
+
+@dataclass(slots=True, eq=False)
+class SampleAttempt:
+    """Hold one running attempt at a sample."""
+
+    number: int
+    started_at: float
+    instance: str = ""
+    version: int = 0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+class SampleDispatcher:
+    """Send samples to samplers, for all steps of an entry."""
+
+    def __init__(
+        self,
+        zone: str,
+        membership: MembershipCoordinator,
+        keeper: BundleKeeper,
+        live: LiveCoordinator,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Take the links."""
+        self._zone = zone
+        self._membership = membership
+        self._keeper = keeper
+        self._live = live
+        self._metrics = metrics
+        self._rng = rng
+
+    def count_window(self, upstream: str) -> int:
+        """Return how many samples may run at once."""
+        slots = sum(
+            view.slots
+            for view in self._membership.list_views(upstream)
+            if view.is_usable()
+        )
+        return max(1, int(slots * const.WINDOW_FACTOR))
+
+    def find_floor(self, order: JobsOrder) -> int | None:
+        """Return the oldest version to deliver; None without trainer."""
+        bundle = self._keeper.bundle()
+        trainer = bundle.find_trainer(order.trainer) if bundle else None
+        if trainer is None:
+            return None
+        announced = self._live.weights.get(order.trainer)
+        newest = announced.version if announced else 0
+        return compute_floor(
+            order.weight_version, newest, trainer.max_version_lag
+        )
+
+    async def run(
+        self,
+        order: JobsOrder,
+        job: SampleJob,
+        attempt: SampleAttempt,
+        avoid: set[str],
+    ) -> Result[Sample, str]:
+        """Run one attempt at a sample; an Err may be tried again."""
+        request = self._make_request(order, job, attempt)
+        if request is None:
+            return Err("trainer or upstream is not in the bundle")
+        views = self._membership.list_views(order.upstream)
+        now = trio.current_time()
+        choice = choose_instance(
+            views, request, avoid, self._zone, now, self._rng
+        )
+        if isinstance(choice, NoInstance):
+            return Err(choice.reason)
+        peer = self._membership.peers[choice.name]
+        attempt.instance = choice.name
+        attempt.version = peer.view.versions.get(order.trainer, 0)
+        answer = await self._send(peer, request)
+        self._observe(peer.view, request, answer, attempt.started_at)
+        return answer.map(
+            lambda got: Sample(job.group, job.index, got.text, got.segments)
+        )
+
+    def _make_request(
+        self, order: JobsOrder, job: SampleJob, attempt: SampleAttempt
+    ) -> CallerRequest | None:
+        """Make the request of an attempt."""
+        bundle = self._keeper.bundle()
+        floor = self.find_floor(order)
+        if bundle is None or floor is None:
+            return None
+        trainer = bundle.find_trainer(order.trainer)
+        upstream = bundle.find_upstream(order.upstream)
+        if trainer is None or upstream is None:
+            return None
+        body = SampleRequest(job.prompt, order.max_tokens)
+        name = f"{order.trainer}.{order.step}.{job.ordinal}.{attempt.number}"
+        request_id = f"{name}.{self._rng.getrandbits(32):08x}"
+        return CallerRequest(
+            request_id=request_id,
+            caller=Caller(trainer.name, trainer.partner, trainer.priority),
+            upstream=upstream,
+            kind=Kind.SAMPLE,
+            method="POST",
+            path="",
+            content_type="",
+            body=msgspec.json.encode(body),
+            deadline=trio.current_time() + const.SAMPLE_TIMEOUT_S,
+            tokens=order.max_tokens + len(job.prompt) // BYTES_PER_TOKEN,
+            repeatable=True,
+            prefix=f"{order.trainer}.{order.step}.{job.group}",
+            model=order.trainer,
+            min_version=floor,
+        )
+
+    async def _send(
+        self, peer: SidecarPeer, request: CallerRequest
+    ) -> Result[GeneratedSample, str]:
+        """Send the order and read the whole answer."""
+        now = trio.current_time()
+        order = make_order(request, peer, request.request_id, now)
+        if order is None:
+            return Err("the deadline has passed")
+        try:
+            with (
+                count_in_flight(peer, request.tokens),
+                track_attempt(peer, order.request_id, now) as attempt,
+                attempt.scope,
+            ):
+                async with peer.link.run(order, request.body) as stream:
+                    parts = [part async for part in stream.chunks()]
+                    return _read_answer(stream.reply, b"".join(parts))
+            return Err("the connection went silent")
+        except LinkError as error:
+            peer.nudge()
+            return Err(str(error))
+
+    def _observe(
+        self,
+        view: InstanceView,
+        request: CallerRequest,
+        answer: Result[GeneratedSample, str],
+        started_at: float,
+    ) -> None:
+        """Take a result into account for later choices."""
+        now = trio.current_time()
+        if isinstance(answer, Err):
+            self._metrics.count("samples_failed")
+            outliers.observe_failure(view)
+        else:
+            duration_s = now - started_at
+            outliers.observe_success(view, duration_s / request.tokens)
+            outliers.forgive(view)
+        peers = self._membership.list_views(request.upstream.name)
+        if outliers.decide_ejection(view, peers, now, self._rng):
+            self._metrics.count("ejections")
+
+
+def _read_answer(reply: object, body: bytes) -> Result[GeneratedSample, str]:
+    """Read a sample from an answer."""
+    match reply:
+        case Answered():
+            try:
+                return Ok(msgspec.json.decode(body, type=GeneratedSample))
+            except msgspec.MsgspecError as error:
+                return Err(f"unreadable sample: {error}")
+        case Refused() as refused:
+            return Err(refused.reason)
+    return Err("the sampler lost the sample")
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/weights/__init__.py
@@ -0,0 +1,1 @@
+"""New weights of trainers: announced once, known to all entries."""
