Keep calls that may not be repeated to one run under link faults

A non-repeatable call whose link broke was marked lost at the sidecar while it still ran, and its slot was given away. A connection that went silent after the last byte was never found, because all bytes had been received. Two waiters for one key's answer replaced each other's event.

Change: the shielded call owns its slot and its record's end; progress says whether the sidecar is done with a request; a record's event is renewed by whoever changes it. Fakes at the ports (key-value service, instance list, link, upstreams, peers) run the real entry and sidecar in virtual time.

--- /dev/null
+++ b/features/support/calls.py
@@ -0,0 +1,128 @@
+"""Support request cases: one call, the faults it meets, what came of it."""
+
+from collections.abc import Iterable
+from collections import Counter
+from dataclasses import dataclass
+
+from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar_standins.fakes.fleet import FleetPlan
+from pistachiospar_standins.fakes.fleet import MemoryFleet
+from pistachiospar_standins.fakes.fleet import run_virtual
+from pistachiospar_standins.fakes.links import LinkFault
+from pistachiospar_standins.fakes.links import Moment
+from pistachiospar_standins.fakes.sinks import AnswerExchange
+import trio
+
+from .bundles import make_bundle
+
+LIMIT_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class CallKind:
+    """Describe a kind of call."""
+
+    method: str
+    path: str
+    keyed: bool = False
+
+
+KINDS = {
+    "lookup": CallKind("GET", "lookup"),
+    "stream": CallKind("GET", "stream"),
+    "record": CallKind("POST", "weights"),
+    "keyed record": CallKind("POST", "weights", True),
+}
+
+
+@dataclass(slots=True)
+class CallResult:
+    """Hold what came of a call; the duration is in seconds."""
+
+    answer: AnswerExchange
+    runs: int
+    runs_when_answered: int
+    took_s: float
+    sent_body: str
+
+    def is_whole(self) -> bool:
+        """Return whether the body is the whole answer to this call."""
+        words = self.answer.body.decode().split(" ", 2)
+        return len(words) == 3 and words[2] == self.sent_body
+
+
+def make_request(
+    kind: CallKind, body: str, timeout_ms: int, caller: str = "app"
+) -> HttpRequest:
+    """Make the HTTP request of a call."""
+    headers = {
+        "pistachiospar-caller": caller,
+        "pistachiospar-timeout-ms": str(timeout_ms),
+    }
+    if kind.keyed:
+        headers["idempotency-key"] = body
+    path = f"/upstreams/plain/{kind.path}"
+    return HttpRequest(kind.method, path, "", headers, body.encode())
+
+
+async def call_entry(
+    fleet: MemoryFleet, entry: str, request: HttpRequest
+) -> AnswerExchange:
+    """Send a request to an entry and return what the caller saw."""
+    exchange = AnswerExchange()
+    await fleet.entries[entry].handler.handle(request, exchange)
+    return exchange
+
+
+def count_runs(fleet: MemoryFleet) -> Counter[str]:
+    """Return how often each body was run, over all instances."""
+    runs: Counter[str] = Counter()
+    for service in fleet.services.values():
+        runs.update(service.runs)
+    return runs
+
+
+def parse_faults(text: str) -> list[LinkFault]:
+    """Read faults such as `before dispatch, silent after dispatch`."""
+    faults: list[LinkFault] = []
+    for part in text.split(","):
+        name = part.strip()
+        if not name or name == "none":
+            continue
+        silent = name.startswith("silent ")
+        moment = Moment(name.removeprefix("silent "))
+        faults.append(LinkFault(moment, silent))
+    return faults
+
+
+def run_call(
+    kind: str, faults: Iterable[LinkFault], seed: int, timeout_ms: int = 8000
+) -> CallResult:
+    """Run one call that meets faults at whichever link it takes."""
+
+    async def work() -> CallResult:
+        plan = FleetPlan(make_bundle(), 2, {"plain": 3, "engine": 1})
+        fleet = MemoryFleet(plan)
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            arm_faults(fleet, list(faults))
+            request = make_request(KINDS[kind], "body-1", timeout_ms)
+            started = trio.current_time()
+            answer = await call_entry(fleet, "entry-1", request)
+            took_s = trio.current_time() - started
+            at_answer = count_runs(fleet)["body-1"]
+            await trio.sleep(30.0)
+            runs = count_runs(fleet)["body-1"]
+            nursery.cancel_scope.cancel()
+        return CallResult(answer, runs, at_answer, took_s, "body-1")
+
+    return run_virtual(work, seed, LIMIT_S)
+
+
+def arm_faults(fleet: MemoryFleet, faults: list[LinkFault]) -> None:
+    """Let the next orders of an entry meet faults, on whatever link."""
+    shared = next(iter(fleet.links.values())).faults
+    shared.extend(faults)
+    for (entry, instance), link in fleet.links.items():
+        if entry == "entry-1" and instance.startswith("plain"):
+            link.faults = shared
--- /dev/null
+++ b/features/support/summary.py
@@ -0,0 +1,36 @@
+"""Support a closing line that counts the scenarios."""
+
+from typing import Any
+
+from behave.model import Scenario
+from behave.model import ScenarioOutline
+from behave.reporter.base import Reporter
+
+
+class CountReporter(Reporter):
+    """Print `scenarios: N passed, N failed, N skipped` at the end."""
+
+    def __init__(self, config: Any) -> None:
+        """Begin with no scenario."""
+        super().__init__(config)
+        self._counts = {"passed": 0, "failed": 0, "skipped": 0}
+
+    def feature(self, feature: Any) -> None:
+        """Count the scenarios of a feature."""
+        for scenario in feature.walk_scenarios():
+            if isinstance(scenario, ScenarioOutline):
+                continue
+            self._count(scenario)
+
+    def end(self) -> None:
+        """Print the counts."""
+        parts = [f"{n} {name}" for name, n in self._counts.items()]
+        print("scenarios: " + ", ".join(parts))
+
+    def _count(self, scenario: Scenario) -> None:
+        """Count one scenario."""
+        name = scenario.status.name
+        if name in ("passed", "skipped"):
+            self._counts[name] += 1
+        elif name != "untested":
+            self._counts["failed"] += 1
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
@@ -4,7 +4,7 @@
 can compare the labels with what the engine truly did.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
@@ -82,7 +82,7 @@
 
     async def generate(
         self, model: str, prompt: str, max_tokens: int, done: int = 0
-    ) -> AsyncIterator[TokenRun]:
+    ) -> AsyncGenerator[TokenRun, None]:
         """Generate tokens from number `done` on.
 
         Raises EngineCrashedError.
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the ports, for tests in virtual time."""
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -0,0 +1,203 @@
+"""Support the key-value port in memory, with faults."""
+
+from collections.abc import AsyncGenerator
+from collections.abc import Sequence
+from collections import Counter
+from dataclasses import dataclass
+
+from pistachiospar.adapters.etcd.models import end_of_prefix
+from pistachiospar.ports.kv import KvError
+from pistachiospar.ports.kv import KvEvent
+from pistachiospar.ports.kv import KvFault
+from pistachiospar.ports.kv import KvItem
+from pistachiospar.ports.kv import KvPut
+from pistachiospar.ports.kv import KvWrite
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from ..kv.store import Store
+from ..kv.store import StoredItem
+
+TIMEOUT_S = 2.0
+SILENCE_S = 10.0
+
+
+@dataclass(slots=True)
+class KvFaultSet:
+    """Set the faults of the service; delays are in seconds.
+
+    `lose_replies` counts down writes that take effect and are not
+    answered; `lose_reply_every` drops each n-th reply of a write.
+    """
+
+    down: bool = False
+    latency_s: float = 0.002
+    lose_replies: int = 0
+    lose_reply_every: int = 0
+    stale_reads: int = 0
+    silent_watch: bool = False
+
+
+class FakeKeyValue:
+    """Serve one client of a shared store."""
+
+    def __init__(self, store: Store, faults: KvFaultSet) -> None:
+        """Take the store that the clients share."""
+        self._store = store
+        self.faults = faults
+        self.calls: Counter[str] = Counter()
+        self._writes = 0
+        self._stale: dict[str, list[StoredItem]] = {}
+
+    async def list_items(
+        self, prefix: str
+    ) -> Result[tuple[list[KvItem], int], KvError]:
+        """Return the items below a prefix and the store's revision."""
+        fault = await self._enter("read")
+        if fault is not None:
+            return Err(fault)
+        end = end_of_prefix(prefix).decode()
+        items = [_make_item(i) for i in self._read(prefix, end)]
+        return Ok((items, self._store.revision))
+
+    async def get_item(self, key: str) -> Result[KvItem | None, KvError]:
+        """Return one item, or None."""
+        fault = await self._enter("read")
+        if fault is not None:
+            return Err(fault)
+        items = self._read(key, "")
+        return Ok(_make_item(items[0]) if items else None)
+
+    async def put_if(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease: int = 0,
+        also: Sequence[KvPut] = (),
+    ) -> Result[KvWrite, KvError]:
+        """Write if the key's revision is as expected; 0 means absent."""
+        fault = await self._enter("write")
+        if fault is not None:
+            return Err(fault)
+        won = self._store.find_revision(key) == expected
+        now = trio.current_time()
+        if won:
+            self._store.write(key, value, lease, now)
+            for put in also:
+                self._store.write(put.key, put.value, 0, now)
+        lost = await self._lose_reply()
+        if lost is not None:
+            return Err(lost)
+        return Ok(KvWrite(won, self._store.revision))
+
+    async def put_item(
+        self, key: str, value: bytes, lease: int = 0
+    ) -> Result[int, KvError]:
+        """Write without condition; return the store's revision."""
+        fault = await self._enter("write")
+        if fault is not None:
+            return Err(fault)
+        written = self._store.write(key, value, lease, trio.current_time())
+        lost = await self._lose_reply()
+        if lost is not None:
+            return Err(lost)
+        if not written:
+            return Err(KvError(KvFault.UNKNOWN, "the lease is gone"))
+        return Ok(self._store.revision)
+
+    async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
+        """Return a new lease's number."""
+        fault = await self._enter("write")
+        if fault is not None:
+            return Err(fault)
+        return Ok(self._store.grant(float(ttl_s), trio.current_time()))
+
+    async def keep_lease(self, lease: int) -> Result[float, KvError]:
+        """Renew a lease; return the seconds left, 0 when it lapsed."""
+        fault = await self._enter("write")
+        if fault is not None:
+            return Err(fault)
+        return Ok(self._store.keep(lease, trio.current_time()))
+
+    async def revoke_lease(self, lease: int) -> Result[None, KvError]:
+        """Give a lease back."""
+        fault = await self._enter("write")
+        if fault is not None:
+            return Err(fault)
+        self._store.revoke(lease)
+        return Ok(None)
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
+        """Yield changes from a revision on; the first Err is the last."""
+        fault = await self._enter("watch")
+        if fault is not None:
+            yield Err(fault)
+            return
+        end = end_of_prefix(prefix).decode()
+        quiet_s = 0.0
+        while quiet_s < SILENCE_S and not self.faults.down:
+            changed = self._store.changed
+            if self.faults.silent_watch:
+                await trio.sleep(1.0)
+                quiet_s += 1.0
+                continue
+            quiet_s = 0.0
+            self._store.expire(trio.current_time())
+            events = self._store.list_events(prefix, end, from_revision)
+            if events:
+                from_revision = events[-1].revision + 1
+            yield Ok([KvEvent(e.key, e.value, e.revision) for e in events])
+            with trio.move_on_after(1.0):
+                await changed.wait()
+        yield Err(KvError(KvFault.UNKNOWN, "watch lost"))
+
+    def freeze_reads(self) -> None:
+        """Let the next stale reads see the store as it is now."""
+        self._stale = {"": list(self._store.items.values())}
+
+    def _read(self, key: str, end: str) -> list[StoredItem]:
+        """Read, maybe from an older state."""
+        if self.faults.stale_reads > 0 and self._stale:
+            self.faults.stale_reads -= 1
+            return [
+                item
+                for item in self._stale[""]
+                if item.key == key or (end and key <= item.key < end)
+            ]
+        return self._store.read(key, end)
+
+    async def _enter(self, kind: str) -> KvError | None:
+        """Count a call; return the fault that it meets."""
+        self.calls[kind] += 1
+        if self.faults.down:
+            await trio.sleep(0.05)
+            return KvError(KvFault.NOT_SENT, "down")
+        latency_s = self.faults.latency_s
+        await trio.sleep(min(latency_s, TIMEOUT_S))
+        if latency_s >= TIMEOUT_S:
+            return KvError(KvFault.UNKNOWN, "slow")
+        self._store.expire(trio.current_time())
+        return None
+
+    async def _lose_reply(self) -> KvError | None:
+        """Return the fault of a reply that is lost after the write."""
+        self._writes += 1
+        every = self.faults.lose_reply_every
+        lost = bool(every) and self._writes % every == 0
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            lost = True
+        if not lost:
+            return None
+        await trio.sleep(TIMEOUT_S)
+        return KvError(KvFault.UNKNOWN, "reply lost")
+
+
+def _make_item(item: StoredItem) -> KvItem:
+    """Make the port's item."""
+    return KvItem(item.key, item.value, item.revision)
--- a/packages/pistachiospar/src/pistachiospar/entry/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/coordinator.py
@@ -1,6 +1,8 @@
 """Support an entry's parts, over any adapters."""
 
+from collections.abc import Callable
 from random import Random
+import time
 
 import trio
 
@@ -37,6 +39,7 @@
         make_link: LinkFactory,
         make_peer: PeerFactory,
         rng: Random,
+        read_wall_s: Callable[[], float] = time.time,
     ) -> None:
         """Wire the parts."""
         common = settings.process
@@ -63,7 +66,12 @@
             rng,
         )
         self.requests = RequestCoordinator(
-            common.zone, self.membership, self.explanations, self.metrics, rng
+            common.zone,
+            self.membership,
+            self.explanations,
+            self.metrics,
+            rng,
+            read_wall_s,
         )
         self.dispatcher = SampleDispatcher(
             common.zone,
--- a/packages/pistachiospar/src/pistachiospar/entry/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/routes.py
@@ -10,7 +10,6 @@
 
 from ..adapters.http.models import HttpAnswer
 from ..adapters.http.models import HttpRequest
-from ..adapters.http.server import Exchange
 from ..bundle.coordinator import BundleKeeper
 from . import const
 from ..const import CONTENT_TYPE_JSON
@@ -20,6 +19,7 @@
 from ..helpers.problems import Problem
 from ..helpers.problems import refuse_input
 from ..helpers.problems import refuse_not_run
+from ..ports.caller import CallerSink
 from ..requests.coordinator import AnswerCutError
 from ..requests.coordinator import RequestCoordinator
 from ..requests.intake import read_request
@@ -51,7 +51,7 @@
         self._announcer = announcer
         self._metrics = metrics
 
-    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+    async def handle(self, request: HttpRequest, exchange: CallerSink) -> None:
         """Serve one request."""
         self._metrics.count("requests")
         parts = request.path.lstrip("/").split("/")
@@ -81,7 +81,7 @@
                 )
 
     async def handle_peer(
-        self, request: HttpRequest, exchange: Exchange
+        self, request: HttpRequest, exchange: CallerSink
     ) -> None:
         """Serve a trainer's call that a peer entry passes on."""
         self._metrics.count("calls_forwarded_here")
@@ -90,7 +90,7 @@
     async def _forward(
         self,
         request: HttpRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
         upstream: str,
         path: str,
     ) -> None:
@@ -116,7 +116,7 @@
     async def _put(
         self,
         request: HttpRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
         trainer: str,
         step: str,
     ) -> Problem | None:
@@ -135,7 +135,7 @@
     async def _pull(
         self,
         request: HttpRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
         trainer: str,
         step: str,
     ) -> Problem | None:
@@ -169,7 +169,7 @@
         return None
 
     async def _take_weights(
-        self, request: HttpRequest, exchange: Exchange, trainer: str
+        self, request: HttpRequest, exchange: CallerSink, trainer: str
     ) -> Problem | None:
         """Take new weights of a trainer."""
         if request.method != "POST":
@@ -191,7 +191,7 @@
         return None
 
     async def _refuse(
-        self, problem: Problem | None, exchange: Exchange
+        self, problem: Problem | None, exchange: CallerSink
     ) -> None:
         """Send a problem, if there is one."""
         if problem is not None:
@@ -223,7 +223,7 @@
     return Ok(min(int(text[:12]), most))
 
 
-async def _send_forwarded(answer: HttpAnswer, exchange: Exchange) -> None:
+async def _send_forwarded(answer: HttpAnswer, exchange: CallerSink) -> None:
     """Pass the answer of a step's owner on."""
     kept = ("content-type", HEADER_OUTCOME, "retry-after")
     headers = [(n, v) for n, v in answer.headers.items() if n in kept]
--- a/packages/pistachiospar/src/pistachiospar/link/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/link/messages.py
@@ -159,6 +159,7 @@
     request_id: str
     seen: bool
     sent: int
+    ended: bool = False
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag="u"):
--- a/packages/pistachiospar/src/pistachiospar/membership/attempts.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/attempts.py
@@ -21,7 +21,6 @@
     request_id: str
     heard_at: float
     received: int = 0
-    asked_received: int = -1
     suspected: bool = False
     silent: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
@@ -44,7 +43,9 @@
     It must look so at two heartbeats running, so that bytes under way are
     not taken for lost ones.
     """
-    behind = not progress.seen or progress.sent > attempt.received
+    behind = (
+        not progress.seen or progress.ended or progress.sent > attempt.received
+    )
     silent = behind and attempt.suspected
     attempt.suspected = behind
     return silent
--- a/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
@@ -1,7 +1,7 @@
 """Support forwarding: each request reaches one instance, or is refused."""
 
+from collections.abc import Callable
 from random import Random
-import time
 
 from result import Err
 import trio
@@ -64,9 +64,11 @@
         explanations: Explanations,
         metrics: Metrics,
         rng: Random,
+        read_wall_s: Callable[[], float],
     ) -> None:
         """Take the links."""
         self._zone = zone
+        self._read_wall_s = read_wall_s
         self._membership = membership
         self._explanations = explanations
         self._metrics = metrics
@@ -114,7 +116,8 @@
         if request.pinned:
             ttl_s = 2.0 * upstream.max_timeout_ms / MS_PER_S
             gone = self._membership.list_gone(upstream.name, now, ttl_s)
-            return choose_pinned(views, gone, request, ttl_s, time.time())
+            wall_s = self._read_wall_s()
+            return choose_pinned(views, gone, request, ttl_s, wall_s)
         return choose_instance(
             views, request, avoid, self._zone, now, self._rng
         )
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -38,6 +38,7 @@
 from .models import Rejected
 from .models import SampleRequest
 from .records import Records
+from .records import UNDER_WAY
 from .samples import SampleRunner
 from .weights import WeightsCoordinator
 
@@ -231,11 +232,7 @@
             )
             return
         with trio.move_on_after(order.timeout_ms / MS_PER_S):
-            while record.state in (
-                RecordState.WAITING,
-                RecordState.DISPATCHED,
-            ):
-                record.changed = trio.Event()
+            while record.state in UNDER_WAY:
                 await record.changed.wait()
         if record.answer is not None:
             await self._send_kept(order, record.answer, sink)
@@ -256,20 +253,23 @@
     ) -> None:
         """Wait for a slot, then dispatch."""
         now = trio.current_time()
+        reason = "deadline passed in the queue"
+        granted = False
         try:
-            with trio.CancelScope(deadline=deadline) as scope:
-                async with self.gate.hold_slot(order, now, deadline):
-                    scope.deadline = float("inf")
-                    if record.state is RecordState.TOMBSTONE:
-                        raise GateRefusedError("given up by its entry")
-                    await self._dispatch(order, body, record, deadline, sink)
-                    return
-            reason = "deadline passed in the queue"
+            with trio.CancelScope(deadline=deadline):
+                await self.gate.acquire(order, now, deadline)
+                granted = True
         except GateRefusedError as error:
             reason = str(error)
         finally:
-            if record.state is RecordState.WAITING:
+            if not granted and record.state is RecordState.WAITING:
                 self.records.bury(record, trio.current_time())
+        if granted and record.state is RecordState.WAITING:
+            await self._dispatch(order, body, record, deadline, sink)
+            return
+        if granted:
+            reason = "given up by its entry"
+            self.gate.release(order, trio.current_time())
         rejected = Rejected(reason, const.MIN_RETRY_AFTER_S)
         await self._refuse(order, rejected, sink)
 
@@ -287,18 +287,26 @@
         self.metrics.count("orders_dispatched")
         waited = now - (deadline - order.timeout_ms / MS_PER_S)
         self._explain(order, "dispatched", f"waited {waited:.3f} s")
+        if order.kind is Kind.CALL and not order.repeatable:
+            await self._run_shielded(order, body, record, deadline, sink)
+            return
         try:
             if order.kind is Kind.SAMPLE:
                 await self._run_sample(order, body, record, deadline, sink)
-            elif order.repeatable:
-                await self._pass_through(order, body, record, deadline, sink)
             else:
-                await self._run_shielded(order, body, record, deadline, sink)
+                await self._pass_through(order, body, record, deadline, sink)
         finally:
-            ended = trio.current_time()
-            self.gate.rate.observe(order.tokens, ended - now)
-            if record.state is RecordState.DISPATCHED:
-                self.records.change(record, RecordState.LOST, ended)
+            self._end_dispatch(order, record, now)
+
+    def _end_dispatch(
+        self, order: RunOrder, record: Record, started_at: float
+    ) -> None:
+        """Give the slot back; an order without an answer is lost."""
+        now = trio.current_time()
+        self.gate.rate.observe(order.tokens, now - started_at)
+        self.gate.release(order, now)
+        if record.state is RecordState.DISPATCHED:
+            self.records.change(record, RecordState.LOST, now)
 
     async def _run_sample(
         self,
@@ -397,8 +405,14 @@
         outcome: list[KeptAnswer | str | None] = [None]
 
         async def run_whole() -> None:
-            outcome[0] = await self._call_whole(order, body, record, deadline)
-            done.set()
+            started_at = trio.current_time()
+            try:
+                outcome[0] = await self._call_whole(
+                    order, body, record, deadline
+                )
+            finally:
+                self._end_dispatch(order, record, started_at)
+                done.set()
 
         self._nursery.start_soon(run_whole)
         await done.wait()
@@ -424,14 +438,14 @@
                     answer.status, answer.content_type, b"".join(parts)
                 )
                 now = trio.current_time()
-                self.records.keep_answer(record, kept, now)
                 record.sent = len(kept.body)
+                self.records.keep_answer(record, kept, now)
                 return kept
         except UpstreamNotSentError as error:
+            self.records.bury(record, trio.current_time())
             return str(error)
         except UpstreamError:
             pass
-        self.records.change(record, RecordState.LOST, trio.current_time())
         return None
 
     async def _hand_back(
--- a/packages/pistachiospar/src/pistachiospar/sidecar/gate.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/gate.py
@@ -1,8 +1,5 @@
 """Support the slots before an upstream: who runs, who waits."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import trio
 
 from ..link.messages import Kind
@@ -46,11 +43,10 @@
         )
         return decide_admission(view, self.rate, order.timeout_ms / 1000.0)
 
-    @asynccontextmanager
-    async def hold_slot(
+    async def acquire(
         self, order: RunOrder, now: float, deadline: float
-    ) -> AsyncIterator[None]:
-        """Wait for a slot and hold it.
+    ) -> None:
+        """Wait for a slot; it is given back by `release`.
 
         Raises GateRefusedError when the ticket is given back.
         """
@@ -64,10 +60,13 @@
             raise
         if ticket.refused:
             raise GateRefusedError(ticket.refused)
-        try:
-            yield
-        finally:
-            self._release(order)
+
+    def release(self, order: RunOrder, now: float) -> None:
+        """Free a slot."""
+        self.running -= 1
+        if order.kind is Kind.SAMPLE:
+            self.running_samples -= 1
+        self._grant(now)
 
     def refuse_waiting(self, reason: str) -> None:
         """Give all waiting tickets back."""
@@ -79,17 +78,10 @@
     def _give_back(self, ticket: Ticket) -> None:
         """Free what a cancelled ticket holds."""
         if ticket.granted.is_set() and not ticket.refused:
-            self._release(ticket.order)
+            self.release(ticket.order, trio.current_time())
         else:
             self.queue.remove(ticket)
 
-    def _release(self, order: RunOrder) -> None:
-        """Free a slot."""
-        self.running -= 1
-        if order.kind is Kind.SAMPLE:
-            self.running_samples -= 1
-        self._grant(trio.current_time())
-
     def _grant(self, now: float) -> None:
         """Give free slots to waiting tickets."""
         while self.running < self.slots:
--- a/packages/pistachiospar/src/pistachiospar/sidecar/records.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/records.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+import trio
+
 from ..link.messages import Progress
 from ..link.messages import RunOrder
 from ..link.messages import Settled
@@ -25,6 +27,8 @@
     RecordState.ANSWERED: Settled.ANSWERED,
 }
 
+UNDER_WAY = frozenset({RecordState.WAITING, RecordState.DISPATCHED})
+
 
 class Records:
     """Hold the records until they expire."""
@@ -93,7 +97,8 @@
         record = self._by_id.get(request_id)
         if record is None:
             return Progress(request_id, False, 0)
-        return Progress(request_id, True, record.sent)
+        ended = record.state not in UNDER_WAY
+        return Progress(request_id, True, record.sent, ended)
 
     def change(self, record: Record, state: RecordState, now: float) -> None:
         """Move a record on and wake those that wait for it."""
@@ -102,6 +107,7 @@
         if record.request_id in self._by_id:
             self._by_id.move_to_end(record.request_id)
         record.changed.set()
+        record.changed = trio.Event()
 
     def keep_answer(
         self, record: Record, answer: KeptAnswer, now: float
@@ -127,7 +133,7 @@
             record = next(iter(self._by_id.values()))
             if record.expires_at > now:
                 return
-            if record.state in (RecordState.WAITING, RecordState.DISPATCHED):
+            if record.state in UNDER_WAY:
                 record.expires_at = now + self.ttl_s
                 self._by_id.move_to_end(record.request_id)
                 continue
--- a/packages/pistachiospar/src/pistachiospar/trainers/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/coordinator.py
@@ -1,5 +1,7 @@
 """Support trainers' steps at an entry: put, run, pull."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -67,6 +69,14 @@
             task_status.started()
             await trio.sleep_forever()
 
+    def start_task(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Run a task among the steps' tasks; raises RuntimeError."""
+        if self._nursery is None:
+            raise RuntimeError("the coordinator's tasks are not running")
+        self._nursery.start_soon(task, *arguments)
+
     async def put_step(
         self, trainer: str, step: str, data: bytes
     ) -> Result[bool, Problem]:
@@ -185,11 +195,8 @@
 
     def _start(self, owned: OwnedStep) -> None:
         """Start to run a step."""
-        if self._nursery is None:
-            raise RuntimeError("the coordinator's tasks are not running")
-        key = (owned.trainer, owned.step)
-        self.steps[key] = owned
-        self._nursery.start_soon(self._run_step, owned)
+        self.start_task(self._run_step, owned)
+        self.steps[(owned.trainer, owned.step)] = owned
         self._forget_old(owned.trainer)
         log_event(
             "step_started",
