Keep a doubt about a lost attempt until the final answer

Change: a route remembers its doubt, and answers unknown. A refusal tells whether the upstream is reached; the entry then leaves the instance alone until a heartbeat says otherwise. The sidecar probes an upstream it lost.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, with bounds taken from the stated targets."""
--- /dev/null
+++ b/bench/interleavings.py
@@ -0,0 +1,44 @@
+"""Run many seeded interleavings over all cores, as acceptance does.
+
+python -m bench.interleavings --seeds 10000
+"""
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+import sys
+import time
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
+
+from support.interleavings import run_interleaving  # noqa: E402
+
+WORKERS = 8
+CHUNK = 16
+
+
+def check_seed(seed: int) -> list[str]:
+    """Return the promises that a seed broke."""
+    return run_interleaving(seed).find_broken()
+
+
+def main() -> int:
+    """Run the seeds; return the exit status."""
+    parser = argparse.ArgumentParser(prog="bench.interleavings")
+    parser.add_argument("--seeds", type=int, default=10_000)
+    parser.add_argument("--first", type=int, default=0)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+    started = time.monotonic()
+    with ProcessPoolExecutor(WORKERS) as pool:
+        results = pool.map(check_seed, seeds, chunksize=CHUNK)
+        broken = [line for result in results for line in result]
+    for line in broken:
+        print(line)
+    seconds = time.monotonic() - started
+    print(f"{len(seeds)} seeds, {len(broken)} broken, {seconds:.1f} s")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/features/request_faults.feature
+++ b/features/request_faults.feature
@@ -69,3 +69,8 @@
       | keyed record | mid answer, after answer               | done            | 1   | 1    | 2.0     |
       | record       | silent before dispatch, after dispatch | done            | 1   | 1    | 8.0     |
       | record       | silent after dispatch, silent after dispatch | done or unknown | 1 | 1 | 8.2 |
+
+    Examples: a lost attempt leaves a doubt that a later refusal keeps
+      | kind   | faults                                                  | outcomes | low | high | seconds |
+      | lookup | after dispatch, refused, refused, refused               | unknown  | 1   | 1    | 3.0     |
+      | lookup | after dispatch, before dispatch, refused, refused       | unknown  | 1   | 1    | 3.0     |
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/upstreams.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/upstreams.py
@@ -97,6 +97,10 @@
             cut,
         )
 
+    async def probe(self) -> bool:
+        """Return whether the service takes connections."""
+        return not self.faults.down
+
 
 class FakeEngine:
     """Reach an engine's behaviour without a network."""
@@ -133,6 +137,10 @@
             raise UpstreamError(str(error)) from error
         yield FakeAnswer(200, "application/json", ["".join(text).encode()])
 
+    async def probe(self) -> bool:
+        """Return whether the engine takes connections."""
+        return not self.model.settings.faults.crash
+
     async def load(self, call: LoadCall) -> Result[None, str]:
         """Load weights; after an Err what the engine holds is in doubt."""
         try:
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -189,6 +189,15 @@
             content = await answer.read()
             return HttpAnswer(answer.status, answer.headers, content)
 
+    async def probe(self) -> bool:
+        """Return whether a connection can be made."""
+        try:
+            connection = await self._connect()
+        except ConnectError:
+            return False
+        connection.close()
+        return True
+
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
--- a/packages/pistachiospar/src/pistachiospar/adapters/plain/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/plain/client.py
@@ -58,6 +58,10 @@
         except HttpError as error:
             raise UpstreamError(str(error)) from error
 
+    async def probe(self) -> bool:
+        """Return whether the upstream takes connections."""
+        return await self.pool.probe()
+
 
 def _make_headers(call: UpstreamCall) -> Headers:
     """Make the headers of a call."""
--- a/packages/pistachiospar/src/pistachiospar/link/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/link/messages.py
@@ -65,6 +65,7 @@
     reason: str
     retry_after_s: float = 1.0
     draining: bool = False
+    ready: bool = True
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, tag="f"):
--- a/packages/pistachiospar/src/pistachiospar/ports/upstream.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/upstream.py
@@ -84,6 +84,9 @@
         Raises UpstreamNotSentError and UpstreamError.
         """
 
+    async def probe(self) -> bool:
+        """Return whether the upstream takes connections."""
+
 
 class Engine(Upstream, Protocol):
     """Reach a model engine."""
--- a/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
@@ -9,10 +9,8 @@
 from . import const
 from ..const import HEADER_REQUEST_ID
 from ..const import MS_PER_S
-from ..const import OUTCOME_UNKNOWN
 from ..helpers.explanations import Explanations
 from ..helpers.problems import Problem
-from ..helpers.problems import refuse_not_run
 from ..helpers.problems import report_unknown
 from ..link.errors import LinkLostError
 from ..link.errors import LinkNotSentError
@@ -43,7 +41,10 @@
 from .models import RetryAt
 from .orders import count_in_flight
 from .orders import make_order
+from .orders import note_refusal
 from .orders import track_attempt
+from .refusal import refuse_route
+from .refusal import Route
 from .relay import AnswerRelay
 from .retry import decide_retry
 from .retry import RetryBudget
@@ -79,34 +80,45 @@
     async def forward(self, request: CallerRequest, sink: CallerSink) -> None:
         """Answer a request; raises AnswerCutError when it breaks off."""
         self._budget.earn()
-        avoid: set[str] = set()
-        attempts = 0
+        problem = await self._route(request, sink)
+        if problem is None:
+            return
+        self._metrics.count(f"answered_{problem.outcome}")
+        await sink.send_problem(
+            problem, [(HEADER_REQUEST_ID, request.request_id)]
+        )
+
+    async def _route(
+        self, request: CallerRequest, sink: CallerSink
+    ) -> Problem | None:
+        """Try until the answer is passed on, or return why it is not."""
+        route = Route()
         while True:
-            choice = self._choose(request, avoid)
+            choice = self._choose(request, route.avoid)
             if isinstance(choice, NoInstance):
-                await self._give_up(request, choice, sink)
-                return
+                self._explain(request, "refused", choice.reason)
+                return refuse_route(request, route, choice)
             self._explain(request, f"chose {choice.name}", choice.reason)
-            attempts += 1
             peer = await self._find_peer(request, choice)
             if peer is None:
                 reason = f"{choice.ask_first} held the key before"
-                await self._say_unknown(request, reason, sink)
-                return
-            result = await self._try_once(request, peer, attempts, sink)
+                return report_unknown("outcome-unknown", reason)
+            route.attempts += 1
+            result = await self._try_once(request, peer, route.attempts, sink)
             match result:
                 case Delivered():
-                    return
+                    return None
                 case Cut(reason):
                     self._explain(request, "cut", reason)
                     raise AnswerCutError(reason)
-            avoid.add(choice.name)
             self._explain(request, type(result).__name__, result.reason)
+            route.note(choice.name, result)
             if isinstance(result, Lost) and not request.repeatable:
-                await self._say_unknown(request, result.reason, sink)
-                return
-            if not await self._pause(request, result, attempts, sink):
-                return
+                return refuse_route(request, route, result)
+            delay_s = self._plan_retry(request, route, result)
+            if delay_s is None:
+                return refuse_route(request, route, result)
+            await trio.sleep(delay_s)
 
     def _choose(self, request: CallerRequest, avoid: set[str]) -> Choice:
         """Choose where a request goes."""
@@ -139,40 +151,33 @@
         if isinstance(answer, Err):
             return None
         if answer.ok_value.settled is Settled.NOT_RUN:
-            return peers[choice.name]
+            return peers.get(choice.name)
         self._explain(request, f"chose {before.view.name}", "holds the key")
         return before
 
-    async def _pause(
-        self,
-        request: CallerRequest,
-        result: NotRun | Lost,
-        attempts: int,
-        sink: CallerSink,
-    ) -> bool:
-        """Wait before the next attempt; False when the answer is given."""
+    def _plan_retry(
+        self, request: CallerRequest, route: Route, result: NotRun | Lost
+    ) -> float | None:
+        """Return the delay before the next attempt, None to give up."""
         hint_s = 0.0
         if isinstance(result, NotRun) and request.pinned:
             hint_s = result.retry_after_s
-        now = trio.current_time()
         decision = decide_retry(
-            self._budget, attempts, hint_s, now, request.deadline, self._rng
+            self._budget,
+            route.attempts,
+            hint_s,
+            trio.current_time(),
+            request.deadline,
+            self._rng,
         )
         match decision:
             case RetryAt(delay_s, reason):
                 self._metrics.count("retries")
                 self._explain(request, "retry", reason)
-                await trio.sleep(delay_s)
-                return True
+                return delay_s
             case GiveUp(reason):
                 self._explain(request, "gave up", reason)
-        if isinstance(result, NotRun):
-            after_s = max(result.retry_after_s, 0.1)
-            problem = refuse_not_run("not-run", result.reason, after_s)
-        else:
-            problem = _make_unknown(request, result.reason)
-        await self._send_problem(request, problem, sink)
-        return False
+        return None
 
     async def _try_once(
         self,
@@ -247,7 +252,9 @@
                         async with peer.link.run(
                             order, request.body
                         ) as stream:
-                            return await self._take_reply(relay, stream, peer)
+                            return await self._take_reply(
+                                relay, stream, peer, order
+                            )
                 finally:
                     begun = relay.begun
             reason = "silent" if attempt.silent else "deadline passed"
@@ -261,7 +268,11 @@
         return Cut(reason) if begun else Lost(reason)
 
     async def _take_reply(
-        self, relay: AnswerRelay, stream: RunStream, peer: SidecarPeer
+        self,
+        relay: AnswerRelay,
+        stream: RunStream,
+        peer: SidecarPeer,
+        order: RunOrder,
     ) -> AttemptResult:
         """Act on the head of an answer."""
         match stream.reply:
@@ -269,8 +280,7 @@
                 await relay.pass_on(answered, stream)
                 return Delivered()
             case Refused() as refused:
-                if refused.draining:
-                    peer.view.draining = True
+                note_refusal(peer, order, refused)
                 return NotRun(refused.reason, refused.retry_after_s)
             case Failed() as failed:
                 return Lost(failed.reason, True)
@@ -300,35 +310,6 @@
             self._metrics.count("ejections")
             self._explain(request, f"ejected {view.name}", reason)
 
-    async def _give_up(
-        self, request: CallerRequest, choice: NoInstance, sink: CallerSink
-    ) -> None:
-        """Answer that a request can go nowhere."""
-        if choice.doubtful:
-            problem = _make_unknown(request, choice.reason)
-        else:
-            problem = refuse_not_run(
-                "no-instance", choice.reason, choice.retry_after_s
-            )
-        self._explain(request, "refused", choice.reason)
-        await self._send_problem(request, problem, sink)
-
-    async def _say_unknown(
-        self, request: CallerRequest, reason: str, sink: CallerSink
-    ) -> None:
-        """Answer that a request may have been run."""
-        problem = _make_unknown(request, reason)
-        await self._send_problem(request, problem, sink)
-
-    async def _send_problem(
-        self, request: CallerRequest, problem: Problem, sink: CallerSink
-    ) -> None:
-        """Send a problem document."""
-        self._metrics.count(f"answered_{problem.outcome}")
-        await sink.send_problem(
-            problem, [(HEADER_REQUEST_ID, request.request_id)]
-        )
-
     def _explain(
         self, request: CallerRequest, decision: str, reason: str
     ) -> None:
@@ -336,10 +317,3 @@
         self._explanations.add(
             request.request_id, trio.current_time(), decision, reason
         )
-
-
-def _make_unknown(request: CallerRequest, reason: str) -> Problem:
-    """Make the problem of a request that may have been run."""
-    if request.deadline <= trio.current_time():
-        return Problem(504, "deadline-passed", reason, OUTCOME_UNKNOWN)
-    return report_unknown("outcome-unknown", reason)
--- a/packages/pistachiospar/src/pistachiospar/requests/orders.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/orders.py
@@ -6,6 +6,7 @@
 
 from . import const
 from ..const import MS_PER_S
+from ..link.messages import Refused
 from ..link.messages import RunOrder
 from ..membership.attempts import Attempt
 from ..membership.peer import SidecarPeer
@@ -67,3 +68,12 @@
         yield attempt
     finally:
         peer.attempts.pop(order_id, None)
+
+
+def note_refusal(peer: SidecarPeer, order: RunOrder, refused: Refused) -> None:
+    """Take a refusal into account before the next heartbeat tells."""
+    if refused.draining:
+        peer.view.draining = True
+    if not refused.ready or refused.incarnation != order.incarnation:
+        peer.view.missed = max(peer.view.missed, 1)
+        peer.nudge()
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -89,7 +89,14 @@
                 nursery.start_soon(self.weights.run_probe)
                 nursery.start_soon(self.weights.run_swaps)
             task_status.started()
-            await trio.sleep_forever()
+            await self._probe_upstream()
+
+    async def _probe_upstream(self) -> None:
+        """Look whether an upstream that was lost is back; one task."""
+        while True:
+            await trio.sleep(const.PROBE_INTERVAL_S)
+            if not self.upstream_ok:
+                self.upstream_ok = await self._upstream.probe()
 
     async def run(
         self, order: RunOrder, body: bytes, sink: AnswerSink
@@ -151,14 +158,18 @@
             longest_s = upstream.max_timeout_ms / MS_PER_S
             self.records.ttl_s = const.RECORD_TTL_FACTOR * longest_s
 
+    def is_ready(self) -> bool:
+        """Return whether the upstream was reached last time."""
+        reachable = self.weights is None or self.weights.reachable
+        return self.upstream_ok and reachable
+
     def make_status(self, now: float) -> Status:
         """Return how the sidecar does."""
         weights = self.weights
-        ready = self.upstream_ok and (weights is None or weights.reachable)
         return Status(
             name=self.name,
             incarnation=self.incarnation,
-            ready=ready,
+            ready=self.is_ready(),
             draining=self.gate.draining,
             uptime_s=round(now - self.started_at, 3),
             bundle_version=self.keeper.version,
@@ -207,6 +218,7 @@
             rejected.reason,
             rejected.retry_after_s,
             self.gate.draining,
+            self.is_ready(),
         )
         await sink.begin(reply)
         await sink.finish([])
--- a/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
@@ -27,6 +27,7 @@
 from ..requests.models import NoInstance
 from ..requests.orders import count_in_flight
 from ..requests.orders import make_order
+from ..requests.orders import note_refusal
 from ..requests.orders import track_attempt
 from ..requests import outliers
 from ..sidecar.models import GeneratedSample
@@ -165,6 +166,8 @@
             ):
                 async with peer.link.run(order, request.body) as stream:
                     parts = [part async for part in stream.chunks()]
+                    if isinstance(stream.reply, Refused):
+                        note_refusal(peer, order, stream.reply)
                     return _read_answer(stream.reply, b"".join(parts))
             return Err("the connection went silent")
         except LinkError as error:
