Let an instance that returned have work while it is idle

Change: only what is in flight weighs more after a return.

Conclusion: a return is gradual without being starved.

--- a/packages/pistachiospar/src/pistachiospar/requests/choice.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/choice.py
@@ -18,14 +18,17 @@
     """Return an instance's load: expected tokens per slot, weighted.
 
     In-flight tokens are first-hand; the queue others filled is a report.
+    After a return each token in flight weighs more for a while: an idle
+    instance gets work at once, but not much of it.
     """
     reported = view.status.queued_tokens if view.status else 0
     hint = const.HINT_WEIGHT * max(0, reported - view.in_flight_tokens)
-    load = (view.in_flight_tokens + hint + 1.0) / view.slots
+    busy = view.in_flight_tokens + hint
     since_return = now - view.returned_at
     if since_return < SLOW_START_S:
         missing = 1.0 - since_return / SLOW_START_S
-        load *= 1.0 + const.SLOW_START_PENALTY * missing
+        busy *= 1.0 + const.SLOW_START_PENALTY * missing
+    load = (busy + 1.0) / view.slots
     if view.zone != zone:
         load *= const.ZONE_PENALTY
     return load
