--- a/packages/pistachiospar/src/pistachiospar/live/lease.py
+++ b/packages/pistachiospar/src/pistachiospar/live/lease.py
@@ -12,6 +12,7 @@
 import trio
 
 from . import const
+from ..helpers.backoff import Backoff
 from ..ports.kv import KeyValue
 from ..telemetry.metrics import Metrics
 from .models import EntryRecord
@@ -33,6 +34,8 @@
         self._metrics = metrics
         self._rng = rng
         self._lease = 0
+        self._failures = 0
+        self._backoff = Backoff(const.RETRY_FIRST_S, const.LEASE_RENEW_S)
         self._valid_until = float("-inf")
 
     def is_valid(self, now: float) -> bool:
@@ -46,8 +49,7 @@
                 await self._renew()
             else:
                 await self._take()
-            spread = 1.0 + const.JITTER_SHARE * (self._rng.random() - 0.5)
-            await trio.sleep(const.LEASE_RENEW_S * spread)
+            await trio.sleep(self._choose_pause())
 
     async def give_back(self) -> None:
         """Give the lease back, so that peers need not wait."""
@@ -55,6 +57,15 @@
             await self._kv.revoke_lease(self._lease)
             self._lease = 0
 
+    def _choose_pause(self) -> float:
+        """Return the seconds until the next call; shorter without lease."""
+        if self._lease:
+            self._failures = 0
+            spread = 1.0 + const.JITTER_SHARE * (self._rng.random() - 0.5)
+            return const.LEASE_RENEW_S * spread
+        self._failures += 1
+        return self._backoff.delay(self._failures, self._rng)
+
     async def _take(self) -> None:
         """Take a new lease and write the record under it."""
         sent_at = trio.current_time()
