Move stragglers to another sampler with what they have

Change: an entry asks a sampler to give a straggler back; a waiting one is refused, a running one answers with its part and its labels, and the next sampler goes on from there. Hedging is left for samples that were moved twice or do not come back, late in the step and within the budget.

--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -17,6 +17,7 @@
 from ...link.messages import ControlReply
 from ...link.messages import ControlRequest
 from ...link.messages import Heartbeat
+from ...link.messages import ReclaimOrder
 from ...link.messages import RunReply
 from ...link.messages import SettleOrder
 from ...sidecar.coordinator import SidecarCoordinator
@@ -85,6 +86,8 @@
             return BundlePush(coordinator.keeper.collect_for(epoch))
         case BundlePush():
             return coordinator.push_bundle(request, now)
+        case ReclaimOrder():
+            return coordinator.reclaim(request, now)
         case SettleOrder():
             return coordinator.settle(request, now)
 
--- a/packages/pistachiospar/src/pistachiospar/link/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/link/messages.py
@@ -113,6 +113,12 @@
     asking: list[str] = []
 
 
+class ReclaimOrder(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Ask for samples back: waiting ones refused, running ones in part."""
+
+    request_ids: list[str]
+
+
 class BundlePull(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     """Ask for the bundle in force, with the key changes after an epoch."""
 
@@ -181,5 +187,7 @@
     progress: list[Progress] = []
 
 
-ControlRequest: TypeAlias = Heartbeat | BundlePull | BundlePush | SettleOrder
+ControlRequest: TypeAlias = (
+    Heartbeat | BundlePull | BundlePush | SettleOrder | ReclaimOrder
+)
 ControlReply: TypeAlias = Status | Settlement | BundlePush
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -15,6 +15,7 @@
 from ..link.messages import Failed
 from ..link.messages import Heartbeat
 from ..link.messages import Kind
+from ..link.messages import ReclaimOrder
 from ..link.messages import Refused
 from ..link.messages import RunOrder
 from ..link.messages import Settlement
@@ -146,6 +147,17 @@
         self.apply_bundle()
         return self.make_status(now)
 
+    def reclaim(self, order: ReclaimOrder, now: float) -> Status:
+        """Give samples back, so that they go on at another sampler."""
+        for request_id in order.request_ids:
+            self.metrics.count("samples_reclaimed")
+            self.explanations.add(
+                request_id, now, "reclaimed", "its entry asked for it back"
+            )
+            if self._samples is None or not self._samples.reclaim(request_id):
+                self.gate.refuse_waiting("reclaimed", request_id)
+        return self.make_status(now)
+
     def apply_bundle(self) -> None:
         """Take over shares and deadlines of the bundle in force."""
         bundle = self.keeper.bundle()
@@ -342,7 +354,7 @@
         if sample is None:
             await self._fail(order, reason, sink)
             return
-        tokens = sum(segment.tokens for segment in sample.segments)
+        tokens = sample.tokens() - sum(s.tokens for s in request.segments)
         self.gate.queue.charge(order.partner, tokens - order.tokens)
         data = msgspec.json.encode(sample)
         now = trio.current_time()
--- a/packages/pistachiospar/src/pistachiospar/sidecar/gate.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/gate.py
@@ -68,9 +68,11 @@
             self.running_samples -= 1
         self._grant(now)
 
-    def refuse_waiting(self, reason: str) -> None:
-        """Give all waiting tickets back."""
+    def refuse_waiting(self, reason: str, request_id: str = "") -> None:
+        """Give all waiting tickets back, or only one request's."""
         for ticket in list(self.queue.tickets()):
+            if request_id and ticket.order.request_id != request_id:
+                continue
             self.queue.remove(ticket)
             ticket.refused = reason
             ticket.granted.set()
--- a/packages/pistachiospar/src/pistachiospar/sidecar/models.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/models.py
@@ -90,14 +90,24 @@
 
 
 class GeneratedSample(msgspec.Struct, frozen=True):
-    """Hold a whole sample with its labels."""
+    """Hold a sample with its labels; a reclaimed one is not whole."""
 
     text: str
     segments: list[Segment]
+    whole: bool = True
+
+    def tokens(self) -> int:
+        """Return the number of tokens."""
+        return sum(segment.tokens for segment in self.segments)
 
 
 class SampleRequest(msgspec.Struct, frozen=True):
-    """Hold the body of a sample order."""
+    """Hold the body of a sample order.
+
+    `text` and `segments` are what another sampler generated before.
+    """
 
     prompt: str
     max_tokens: int
+    text: str = ""
+    segments: list[Segment] = []
--- a/packages/pistachiospar/src/pistachiospar/sidecar/samples.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/samples.py
@@ -24,8 +24,15 @@
     text: str = ""
     tokens: int = 0
     finished: bool = False
+    reclaimed: bool = False
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     segments: list[Segment] = field(default_factory=list)
 
+    def renew_scope(self) -> trio.CancelScope:
+        """Return the scope that a reclaim cancels from now on."""
+        self.scope = trio.CancelScope()
+        return self.scope
+
     def add(self, version: int, text: str, tokens: int) -> None:
         """Add tokens that one version certainly produced."""
         self.text += text
@@ -46,22 +53,52 @@
         """Take the engine and its labels."""
         self._engine = engine
         self._weights = weights
+        self._running: dict[str, Progress] = {}
+
+    def reclaim(self, request_id: str) -> bool:
+        """Stop a running sample, so that its part is handed over."""
+        progress = self._running.get(request_id)
+        if progress is None:
+            return False
+        progress.reclaimed = True
+        progress.scope.cancel()
+        return True
 
     async def generate(
         self, order: RunOrder, request: SampleRequest
     ) -> GeneratedSample:
         """Generate a sample; raises UpstreamError when it can't be had."""
         progress = Progress()
+        for segment in request.segments:
+            progress.add(segment.weight_version, "", segment.tokens)
+        progress.text = request.text
+        self._running[order.request_id] = progress
+        try:
+            await self._run(order, request, progress)
+        finally:
+            del self._running[order.request_id]
+        return GeneratedSample(
+            progress.text, progress.segments, progress.finished
+        )
+
+    async def _run(
+        self, order: RunOrder, request: SampleRequest, progress: Progress
+    ) -> None:
+        """Generate until the end, or until it is reclaimed."""
         restarts = 0
-        while not progress.finished:
-            await self._weights.wait_version(order.model, order.min_version)
+        while not progress.finished and not progress.reclaimed:
+            with progress.renew_scope():
+                await self._weights.wait_version(
+                    order.model, order.min_version
+                )
+            if progress.reclaimed:
+                return
             if await self._extend(order, request, progress):
                 continue
             restarts += 1
             if restarts > MAX_SAMPLE_RESTARTS:
                 raise UpstreamError("the engine's version stays in doubt")
             await trio.sleep(RESUME_RETRY_S)
-        return GeneratedSample(progress.text, progress.segments)
 
     async def _extend(
         self, order: RunOrder, request: SampleRequest, progress: Progress
@@ -74,7 +111,7 @@
         call = self._make_call(order, request, progress)
         with self._weights.hold(order.model) as hold:
             try:
-                with hold.scope:
+                with hold.scope, progress.renew_scope():
                     async with self._engine.generate(call) as pieces:
                         async for piece in pieces:
                             text.append(piece.text)
--- a/packages/pistachiospar/src/pistachiospar/trainers/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/decisions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from enum import Enum
 from statistics import median
 
 from . import const
@@ -20,37 +21,45 @@
     return bool(sample.segments) and sample.oldest_version() >= floor
 
 
+class Remedy(Enum):
+    """Tell what is done about a running sample."""
+
+    LEAVE = "leave"
+    MOVE = "move"
+    HEDGE = "hedge"
+
+
 @dataclass(frozen=True, slots=True)
-class HedgeView:
-    """Hold what hedging looks at; durations are in seconds."""
+class StragglerView:
+    """Hold what is known of a running sample; durations are in seconds."""
 
     pending: int
     durations: Collection[float]
     elapsed_s: float
     attempts: int
+    moves: int
     hedged_tokens: int
     done_tokens: int
     max_tokens: int
 
 
-def decide_hedge(view: HedgeView) -> str:
-    """Return why a running sample is hedged, or an empty string.
+def decide_remedy(view: StragglerView) -> Remedy:
+    """Decide about a sample that takes far longer than the others.
 
-    Only late in a step, when nothing is left to start, and within a budget
-    of tokens that may be generated twice.
+    It is moved with what it has, which wastes nothing. One that was moved
+    before, or does not come back, is hedged: late in the step, and within a
+    budget of tokens that may be generated twice.
     """
-    if view.pending or view.attempts > 1:
-        return ""
-    if len(view.durations) < const.HEDGE_MIN_DONE:
-        return ""
+    if view.attempts > 1 or len(view.durations) < const.HEDGE_MIN_DONE:
+        return Remedy.LEAVE
+    if view.elapsed_s < const.STRAGGLER_FACTOR * median(view.durations):
+        return Remedy.LEAVE
+    if view.moves < const.MAX_MOVES:
+        return Remedy.MOVE
     allowed = const.HEDGE_TOKEN_SHARE * view.done_tokens
     allowed = max(allowed, const.HEDGE_FREE_TOKENS * view.max_tokens)
-    if view.hedged_tokens + view.max_tokens > allowed:
-        return ""
-    typical = median(view.durations)
-    if view.elapsed_s < const.HEDGE_FACTOR * typical:
-        return ""
-    return f"{view.elapsed_s:.2f} s, typically {typical:.2f} s"
+    over = view.hedged_tokens + view.max_tokens > allowed
+    return Remedy.LEAVE if view.pending or over else Remedy.HEDGE
 
 
 def assign_jobs(
--- a/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
@@ -16,6 +16,7 @@
 from ..link.errors import LinkError
 from ..link.messages import Answered
 from ..link.messages import Kind
+from ..link.messages import ReclaimOrder
 from ..link.messages import Refused
 from ..live.coordinator import LiveCoordinator
 from ..membership.coordinator import MembershipCoordinator
@@ -35,7 +36,6 @@
 from ..telemetry.metrics import Metrics
 from .decisions import compute_floor
 from .models import JobsOrder
-from .models import Sample
 from .models import SampleJob
 
 
@@ -46,6 +46,8 @@
     number: int
     started_at: float
     instance: str = ""
+    request_id: str = ""
+    reclaimed: bool = False
     version: int = 0
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -97,9 +99,13 @@
         job: SampleJob,
         attempt: SampleAttempt,
         avoid: set[str],
-    ) -> Result[Sample, str]:
-        """Run one attempt at a sample; an Err may be tried again."""
-        request = self._make_request(order, job, attempt)
+        begun: GeneratedSample | None,
+    ) -> Result[GeneratedSample, str]:
+        """Run one attempt at a sample; an Err may be tried again.
+
+        `begun` is what other samplers generated of it.
+        """
+        request = self._make_request(order, job, attempt, begun)
         if request is None:
             return Err("trainer or upstream is not in the bundle")
         views = self._membership.list_views(order.upstream)
@@ -112,14 +118,24 @@
         peer = self._membership.peers[choice.name]
         attempt.instance = choice.name
         attempt.version = peer.view.versions.get(order.trainer, 0)
+        attempt.request_id = request.request_id
         answer = await self._send(peer, request)
         self._observe(peer.view, request, answer, attempt.started_at)
-        return answer.map(
-            lambda got: Sample(job.group, job.index, got.text, got.segments)
-        )
+        return answer
+
+    async def reclaim(self, attempt: SampleAttempt) -> None:
+        """Ask a sampler to give a sample back."""
+        peer = self._membership.peers.get(attempt.instance)
+        if peer is not None and attempt.request_id:
+            order = ReclaimOrder([attempt.request_id])
+            await peer.link.send_control(order)
 
     def _make_request(
-        self, order: JobsOrder, job: SampleJob, attempt: SampleAttempt
+        self,
+        order: JobsOrder,
+        job: SampleJob,
+        attempt: SampleAttempt,
+        begun: GeneratedSample | None,
     ) -> CallerRequest | None:
         """Make the request of an attempt."""
         bundle = self._keeper.bundle()
@@ -131,6 +147,10 @@
         if trainer is None or upstream is None:
             return None
         body = SampleRequest(job.prompt, order.max_tokens)
+        if begun is not None:
+            body = SampleRequest(
+                job.prompt, order.max_tokens, begun.text, begun.segments
+            )
         name = f"{order.trainer}.{order.step}.{job.ordinal}.{attempt.number}"
         request_id = f"{name}.{self._rng.getrandbits(32):08x}"
         return CallerRequest(
@@ -183,6 +203,8 @@
     ) -> None:
         """Take a result into account for later choices."""
         now = trio.current_time()
+        if isinstance(answer, Ok) and not answer.ok_value.whole:
+            return
         if isinstance(answer, Err):
             self._metrics.count("samples_failed")
             outliers.observe_failure(view)
--- a/packages/pistachiospar/src/pistachiospar/trainers/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/runner.py
@@ -7,16 +7,17 @@
 from random import Random
 
 from result import Err
-from result import Ok
 from result import Result
 import trio
 
 from . import const
 from ..helpers.backoff import Backoff
+from ..sidecar.models import GeneratedSample
 from ..telemetry.metrics import Metrics
-from .decisions import decide_hedge
-from .decisions import HedgeView
+from .decisions import decide_remedy
 from .decisions import is_fresh
+from .decisions import Remedy
+from .decisions import StragglerView
 from .dispatch import SampleAttempt
 from .dispatch import SampleDispatcher
 from .models import JobDone
@@ -32,6 +33,9 @@
     job: SampleJob
     attempts: list[SampleAttempt] = field(default_factory=list)
     tries: int = 0
+    moves: int = 0
+    avoid: set[str] = field(default_factory=set)
+    begun: GeneratedSample | None = None
     last_error: str = ""
 
 
@@ -53,6 +57,7 @@
         self.starved_reason = ""
         self.hedged_tokens = 0
         self.done_tokens = 0
+        self.wasted_tokens = 0
         self._durations: deque[float] = deque(maxlen=1024)
         self._dispatcher = dispatcher
         self._metrics = metrics
@@ -88,7 +93,7 @@
     async def run(self) -> None:
         """Run samples until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._hedge_stragglers, nursery)
+            nursery.start_soon(self._look_after_stragglers, nursery)
             while True:
                 self._wake = trio.Event()
                 self._start_ready(nursery)
@@ -121,30 +126,53 @@
     ) -> None:
         """Run one attempt to its end."""
         avoid = {a.instance for a in running.attempts if a is not attempt}
-        result: Result[Sample, str] = Err("cancelled")
+        avoid.update(running.avoid)
+        result: Result[GeneratedSample, str] = Err("cancelled")
         with attempt.scope:
             result = await self._dispatcher.run(
-                self.order, running.job, attempt, avoid
+                self.order, running.job, attempt, avoid, running.begun
             )
         running.attempts.remove(attempt)
-        ordinal = running.job.ordinal
-        if self.running.get(ordinal) is not running:
+        if self.running.get(running.job.ordinal) is not running:
+            return
+        if self._take_result(running, attempt, result):
             return
-        floor = self._dispatcher.find_floor(self.order)
-        match result:
-            case Ok(sample) if floor is not None and is_fresh(sample, floor):
-                self._finish(running, sample, attempt)
-                return
-            case Ok():
-                self._metrics.count("samples_too_old")
-            case Err(reason):
-                running.last_error = self.starved_reason = reason
         if running.attempts:
             return
-        await trio.sleep(self._backoff.delay(running.tries - 1, self._rng))
-        if self.running.get(ordinal) is running and not running.attempts:
+        if not attempt.reclaimed:
+            delay_s = self._backoff.delay(running.tries - 1, self._rng)
+            await trio.sleep(delay_s)
+        current = self.running.get(running.job.ordinal)
+        if current is running and not running.attempts:
             self._start_attempt(running, nursery)
 
+    def _take_result(
+        self,
+        running: RunningJob,
+        attempt: SampleAttempt,
+        result: Result[GeneratedSample, str],
+    ) -> bool:
+        """Take a result; return whether the sample is finished."""
+        if isinstance(result, Err):
+            running.last_error = self.starved_reason = result.err_value
+            return False
+        made = result.ok_value
+        job = running.job
+        sample = Sample(job.group, job.index, made.text, made.segments)
+        floor = self._dispatcher.find_floor(self.order)
+        if floor is None or not is_fresh(sample, floor):
+            if made.whole:
+                self._metrics.count("samples_too_old")
+                self.wasted_tokens += made.tokens()
+            running.begun = None
+            return False
+        if not made.whole:
+            self._metrics.count("samples_moved")
+            running.begun = made
+            return False
+        self._finish(running, sample, attempt)
+        return True
+
     def _finish(
         self, running: RunningJob, sample: Sample, attempt: SampleAttempt
     ) -> None:
@@ -161,26 +189,40 @@
         self._hand_over(JobDone(running.job.ordinal, sample))
         self.wake()
 
-    async def _hedge_stragglers(self, nursery: trio.Nursery) -> None:
-        """Start second attempts at stragglers; one task."""
+    async def _look_after_stragglers(self, nursery: trio.Nursery) -> None:
+        """Move or hedge samples that take too long; one task."""
         while True:
             await trio.sleep(const.HEDGE_POLL_S)
             for running in list(self.running.values()):
-                if not running.attempts:
-                    continue
-                started_at = running.attempts[0].started_at
-                reason = decide_hedge(
-                    HedgeView(
-                        pending=len(self.pending),
-                        durations=self._durations,
-                        elapsed_s=trio.current_time() - started_at,
-                        attempts=len(running.attempts),
-                        hedged_tokens=self.hedged_tokens,
-                        done_tokens=self.done_tokens,
-                        max_tokens=self.order.max_tokens,
-                    )
-                )
-                if reason:
-                    self.hedged_tokens += self.order.max_tokens
-                    self._metrics.count("hedges_started")
-                    self._start_attempt(running, nursery)
+                match self._decide_remedy(running):
+                    case Remedy.MOVE:
+                        await self._move(running)
+                    case Remedy.HEDGE:
+                        self.hedged_tokens += self.order.max_tokens
+                        self._metrics.count("hedges_started")
+                        self._start_attempt(running, nursery)
+
+    def _decide_remedy(self, running: RunningJob) -> Remedy:
+        """Decide about one running sample."""
+        if not running.attempts:
+            return Remedy.LEAVE
+        started_at = running.attempts[0].started_at
+        view = StragglerView(
+            pending=len(self.pending),
+            durations=self._durations,
+            elapsed_s=trio.current_time() - started_at,
+            attempts=len(running.attempts),
+            moves=running.moves,
+            hedged_tokens=self.hedged_tokens,
+            done_tokens=self.done_tokens,
+            max_tokens=self.order.max_tokens,
+        )
+        return decide_remedy(view)
+
+    async def _move(self, running: RunningJob) -> None:
+        """Ask the sampler to give a sample back, to go on elsewhere."""
+        attempt = running.attempts[0]
+        running.moves += 1
+        running.avoid.add(attempt.instance)
+        attempt.reclaimed = True
+        await self._dispatcher.reclaim(attempt)
--- a/scripts/run_deployment.py
+++ b/scripts/run_deployment.py
@@ -25,6 +25,7 @@
     parser.add_argument("--folder", type=Path, default=Path("run"))
     parser.add_argument("--first-port", type=int, default=FIRST_PORT)
     options = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     plan = PLANS[options.plan]
     keys = options.folder / "keys"
     partners = [str(p["name"]) for p in plan.bundle["partners"]]
@@ -40,7 +41,10 @@
             address = process.listen or process.admin
             print(f"{process.name:24} {process.kind:10} {address}")
         print("entries:", *deployment.entries, flush=True)
-        signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            pass
         statuses = fleet.stop_all()
     return 1 if any(statuses.values()) else 0
 
