Find slow samplers by the pace of their streams, start steps in order

Left: stragglers noticed only after twice the typical duration, and a step put ahead competing with the one before it.

A trainer's older step has the window first.

--- /dev/null
+++ b/bench/models.py
@@ -0,0 +1,70 @@
+"""Data classes of benchmark results."""
+
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import field
+import json
+from pathlib import Path
+
+RESULTS = Path(__file__).parent / "results"
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """Hold one figure; a bound of None is only reported."""
+
+    name: str
+    value: float
+    unit: str
+    at_most: float | None = None
+    at_least: float | None = None
+
+    def is_kept(self) -> bool:
+        """Return whether the figure is within its bounds."""
+        if self.at_most is not None and self.value > self.at_most:
+            return False
+        return self.at_least is None or self.value >= self.at_least
+
+    def __str__(self) -> str:
+        """Return one line of the table."""
+        bound = ""
+        if self.at_most is not None:
+            bound = f"at most {self.at_most:g}"
+        if self.at_least is not None:
+            bound = f"at least {self.at_least:g}"
+        mark = "" if self.is_kept() else "  BROKEN"
+        return (
+            f"{self.name:58} {self.value:12.4g} {self.unit:14} {bound}{mark}"
+        )
+
+
+@dataclass(slots=True)
+class Table:
+    """Hold the figures of one benchmark."""
+
+    title: str
+    figures: list[Figure] = field(default_factory=list)
+
+    def add(
+        self,
+        name: str,
+        value: float,
+        unit: str,
+        at_most: float | None = None,
+        at_least: float | None = None,
+    ) -> None:
+        """Add a figure and print it."""
+        figure = Figure(name, value, unit, at_most, at_least)
+        self.figures.append(figure)
+        print(figure, flush=True)
+
+    def find_broken(self) -> list[Figure]:
+        """Return the figures past their bounds."""
+        return [figure for figure in self.figures if not figure.is_kept()]
+
+    def save(self) -> None:
+        """Write the figures as JSON."""
+        RESULTS.mkdir(exist_ok=True)
+        data = [asdict(figure) for figure in self.figures]
+        path = RESULTS / f"{self.title}.json"
+        path.write_text(json.dumps(data, indent=1) + "\n")
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
+from random import Random
 
 import msgspec
 from result import Err
@@ -34,7 +35,8 @@
     """Hold the settings; times are in seconds.
 
     `batch_slowdown` is the share by which each further running call
-    stretches a token.
+    stretches a token; a `tail_share` of the calls runs slower by
+    `tail_factor`, drawn from `seed`.
     """
 
     token_s: float = 0.002
@@ -47,6 +49,9 @@
     event_delay_s: float = 0.5
     event_gap_every: int = 7
     load_lag_s: float = 1.0
+    tail_share: float = 0.0
+    tail_factor: float = 1.0
+    seed: int = 0
     faults: EngineFaults = msgspec.field(default_factory=EngineFaults)
 
 
@@ -79,6 +84,11 @@
     swaps: int = 0
     stale_orders: int = 0
     crashed: trio.Event = field(default_factory=trio.Event)
+    rng: Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Seed the tail of slow calls."""
+        self.rng = Random(self.settings.seed)
 
     async def generate(
         self, model: str, prompt: str, max_tokens: int, done: int = 0
@@ -91,13 +101,15 @@
         cut = faults.cut_streams > 0
         if cut:
             faults.cut_streams -= 1
+        slow = self.rng.random() < self.settings.tail_share
+        tail = self.settings.tail_factor if slow else 1.0
         self.running += 1
         try:
             await self._prefill(prompt)
             while done < max_tokens:
                 self._check_alive()
                 step = min(self.settings.chunk_tokens, max_tokens - done)
-                await self._pause(step)
+                await self._pause(step, tail)
                 version = self.versions.get(model, 0)
                 text = "".join(
                     f" {model}@{version}#{number}"
@@ -173,10 +185,10 @@
             self.prompts.popitem(last=False)
             self.cache_events.append("removed")
 
-    async def _pause(self, tokens: int) -> None:
+    async def _pause(self, tokens: int, tail: float) -> None:
         """Wait as long as some tokens take, and while a swap goes on."""
         crowd = 1.0 + self.settings.batch_slowdown * (self.running - 1)
-        factor = self.settings.faults.slow_factor * crowd
+        factor = self.settings.faults.slow_factor * crowd * tail
         await trio.sleep(tokens * self.settings.token_s * factor)
         while self.swapping is not None:
             await self.swapping.wait()
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/fleet.py
@@ -255,6 +255,7 @@
             settings = msgspec.convert(
                 msgspec.to_builtins(self.plan.engine), EngineSettings
             )
+            settings.seed = self.plan.seed * 1000 + len(self.engines)
             self.engines[name] = FakeEngine(EngineModel(settings))
         else:
             self.services[name] = FakeService(name, self.plan.service_s)
--- a/packages/pistachiospar/src/pistachiospar/link/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/link/messages.py
@@ -170,7 +170,10 @@
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True, tag="u"):
-    """Tell an entry how a sidecar does; tokens are expected costs."""
+    """Tell an entry how a sidecar does; tokens are expected costs.
+
+    `ms_per_token` is the pace of the streams that run now, 0 for none.
+    """
 
     name: str
     incarnation: str
@@ -185,6 +188,7 @@
     held: list[HeldVersion] = []
     epoch: int = 0
     progress: list[Progress] = []
+    ms_per_token: float = 0.0
 
 
 ControlRequest: TypeAlias = (
--- a/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
@@ -17,6 +17,7 @@
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .models import InstanceView
+from .outliers import decide_ejection
 from .peer import SidecarPeer
 from .subset import choose_subset
 
@@ -148,10 +149,19 @@
             self._rng,
         )
         peer.view.leaving = instance.leaving
+        peer.on_status = self._judge
         self.peers[instance.name] = peer
         log_event("link_opened", instance=instance.name)
         return peer
 
+    def _judge(self, view: InstanceView, now: float) -> None:
+        """Eject an instance whose streams became far too slow."""
+        views = self.list_views(view.instance.upstream)
+        reason = decide_ejection(view, views, now, self._rng)
+        if reason:
+            self._metrics.count("ejections")
+            log_event("ejected", instance=view.name, reason=reason)
+
     def _close(self, name: str) -> None:
         """Close the link to a sidecar."""
         peer = self.peers.pop(name)
--- a/packages/pistachiospar/src/pistachiospar/requests/outliers.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/outliers.py
@@ -56,10 +56,31 @@
         view.ejections = 0
 
 
+def _compare_pace(
+    view: InstanceView, peers: Collection[InstanceView]
+) -> float:
+    """Return how many times slower an instance's streams run, 0 if unknown."""
+    if view.status is None or not view.status.ms_per_token:
+        return 0.0
+    others = [
+        peer.status.ms_per_token
+        for peer in peers
+        if peer is not view
+        and peer.status is not None
+        and peer.status.ms_per_token
+    ]
+    if not others:
+        return 0.0
+    return view.status.ms_per_token / median(others)
+
+
 def _find_reason(view: InstanceView, peers: Collection[InstanceView]) -> str:
     """Return why an instance should be ejected, or an empty string."""
     if view.failures >= const.EJECT_FAILURES:
         return f"{view.failures} failures running"
+    slower = _compare_pace(view, peers)
+    if slower > const.EJECT_SLOW_FACTOR:
+        return f"its streams are {slower:.1f} times slower than its peers"
     others = [
         peer.s_per_token
         for peer in peers
--- a/packages/pistachiospar/src/pistachiospar/membership/peer.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/peer.py
@@ -46,6 +46,7 @@
         self.attempts: dict[str, Attempt] = {}
         self.members: list[Instance] = [instance]
         self.scope = trio.CancelScope()
+        self.on_status: Callable[[InstanceView, float], None] | None = None
         self.interval_s = const.BEAT_S
         self._entry = entry
         self._keeper = keeper
@@ -107,6 +108,8 @@
         view.versions = {
             held.model: held.version for held in status.held if held.certain
         }
+        if self.on_status is not None:
+            self.on_status(view, now)
 
     def _miss(self, reason: str) -> None:
         """Take a missed heartbeat into account."""
--- a/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
@@ -21,8 +21,8 @@
 from ..link.messages import Settled
 from ..link.messages import SettleOrder
 from ..membership.coordinator import MembershipCoordinator
+from ..membership import outliers
 from ..membership.peer import SidecarPeer
-from . import outliers
 from ..ports.caller import CallerSink
 from ..ports.link import RunStream
 from ..telemetry.metrics import Metrics
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -191,8 +191,15 @@
             queued_tokens=self.gate.queue.queued_tokens,
             held=weights.held() if weights is not None else [],
             epoch=self.keeper.epoch,
+            ms_per_token=self._read_pace(now),
         )
 
+    def _read_pace(self, now: float) -> float:
+        """Return the pace of the running streams in ms per token."""
+        if self._samples is None:
+            return 0.0
+        return round(self._samples.pace.read(now) * MS_PER_S, 3)
+
     def drain(self) -> None:
         """Refuse new orders and hand waiting ones back."""
         self.gate.draining = True
--- a/packages/pistachiospar/src/pistachiospar/sidecar/samples.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/samples.py
@@ -14,6 +14,7 @@
 from .models import GeneratedSample
 from .models import SampleRequest
 from .models import Segment
+from .pace import Pace
 from .weights import WeightsCoordinator
 
 
@@ -53,6 +54,7 @@
         """Take the engine and its labels."""
         self._engine = engine
         self._weights = weights
+        self.pace = Pace()
         self._running: dict[str, Progress] = {}
 
     def reclaim(self, request_id: str) -> bool:
@@ -113,9 +115,13 @@
             try:
                 with hold.scope, progress.renew_scope():
                     async with self._engine.generate(call) as pieces:
+                        last = trio.current_time()
                         async for piece in pieces:
                             text.append(piece.text)
                             tokens += piece.tokens
+                            now = trio.current_time()
+                            self.pace.observe(piece.tokens, now - last, now)
+                            last = now
                         finished = True
             except UpstreamError:
                 failed = True
--- a/packages/pistachiospar/src/pistachiospar/trainers/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/decisions.py
@@ -38,6 +38,7 @@
     elapsed_s: float
     attempts: int
     moves: int
+    ejected: bool
     hedged_tokens: int
     done_tokens: int
     max_tokens: int
@@ -46,10 +47,13 @@
 def decide_remedy(view: StragglerView) -> Remedy:
     """Decide about a sample that takes far longer than the others.
 
-    It is moved with what it has, which wastes nothing. One that was moved
-    before, or does not come back, is hedged: late in the step, and within a
-    budget of tokens that may be generated twice.
+    It is moved with what it has, which wastes nothing; so is one whose
+    sampler was ejected. One that was moved before, or does not come back,
+    is hedged: late in the step, and within a budget of tokens that may be
+    generated twice.
     """
+    if view.attempts == 1 and view.ejected:
+        return Remedy.MOVE
     if view.attempts > 1 or len(view.durations) < const.HEDGE_MIN_DONE:
         return Remedy.LEAVE
     if view.elapsed_s < const.STRAGGLER_FACTOR * median(view.durations):
--- a/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/dispatch.py
@@ -1,8 +1,13 @@
 """Support running one sample at one sampler."""
 
+from collections.abc import Iterator
+from collections.abc import Sized
+from collections import deque
+from contextlib import contextmanager
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
+from typing import Protocol
 
 import msgspec
 from result import Err
@@ -21,6 +26,7 @@
 from ..live.coordinator import LiveCoordinator
 from ..membership.coordinator import MembershipCoordinator
 from ..membership.models import InstanceView
+from ..membership import outliers
 from ..membership.peer import SidecarPeer
 from ..requests.choice import choose_instance
 from ..requests.const import BYTES_PER_TOKEN
@@ -30,7 +36,6 @@
 from ..requests.orders import make_order
 from ..requests.orders import note_refusal
 from ..requests.orders import track_attempt
-from ..requests import outliers
 from ..sidecar.models import GeneratedSample
 from ..sidecar.models import SampleRequest
 from ..telemetry.metrics import Metrics
@@ -52,6 +57,20 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
+class Share(Protocol):
+    """Describe a runner that shares the window."""
+
+    order: JobsOrder
+    pending: deque[SampleJob]
+
+    @property
+    def running(self) -> Sized:
+        """Return the samples that run."""
+
+    def wake(self) -> None:
+        """Look again at what can be started."""
+
+
 class SampleDispatcher:
     """Send samples to samplers, for all steps of an entry."""
 
@@ -71,15 +90,54 @@
         self._live = live
         self._metrics = metrics
         self._rng = rng
+        self._runners: list[Share] = []
+
+    @contextmanager
+    def register(self, runner: Share) -> Iterator[None]:
+        """Let a runner share the window with the others, oldest first."""
+        self._runners.append(runner)
+        try:
+            yield
+        finally:
+            self._runners.remove(runner)
+
+    def wake_all(self) -> None:
+        """Let all runners look again at what they can start."""
+        for runner in self._runners:
+            runner.wake()
 
-    def count_window(self, upstream: str) -> int:
-        """Return how many samples may run at once."""
+    def count_window(self, runner: Share) -> int:
+        """Return how many samples a runner may have running.
+
+        The older steps of its trainer go first: it gets what they leave,
+        and nothing while they have samples to start.
+        """
         slots = sum(
             view.slots
-            for view in self._membership.list_views(upstream)
+            for view in self._membership.list_views(runner.order.upstream)
             if view.is_usable()
         )
-        return max(1, int(slots * const.WINDOW_FACTOR))
+        window = max(1, int(slots * const.WINDOW_FACTOR))
+        for older in self._runners:
+            if older is runner:
+                break
+            if older.order.trainer == runner.order.trainer:
+                window -= len(older.running)
+                if older.pending:
+                    return 0
+        return window
+
+    def is_ejected(self, attempt: SampleAttempt) -> bool:
+        """Return whether an attempt's sampler is ejected, others not."""
+        now = trio.current_time()
+        peer = self._membership.peers.get(attempt.instance)
+        if peer is None or now >= peer.view.ejected_until:
+            return False
+        upstream = peer.view.instance.upstream
+        return any(
+            view.is_usable() and now >= view.ejected_until
+            for view in self._membership.list_views(upstream)
+        )
 
     def find_floor(self, order: JobsOrder) -> int | None:
         """Return the oldest version to deliver; None without trainer."""
--- a/packages/pistachiospar/src/pistachiospar/trainers/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/trainers/runner.py
@@ -92,17 +92,18 @@
 
     async def run(self) -> None:
         """Run samples until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._look_after_stragglers, nursery)
-            while True:
-                self._wake = trio.Event()
-                self._start_ready(nursery)
-                with trio.move_on_after(const.IDLE_POLL_S):
-                    await self._wake.wait()
+        with self._dispatcher.register(self):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._look_after_stragglers, nursery)
+                while True:
+                    self._wake = trio.Event()
+                    self._start_ready(nursery)
+                    with trio.move_on_after(const.IDLE_POLL_S):
+                        await self._wake.wait()
 
     def _start_ready(self, nursery: trio.Nursery) -> None:
         """Start samples while the window is open."""
-        window = self._dispatcher.count_window(self.order.upstream)
+        window = self._dispatcher.count_window(self)
         while self.pending and len(self.running) < window:
             job = self.pending.popleft()
             running = RunningJob(job)
@@ -187,7 +188,7 @@
         self._metrics.count("samples_generated")
         self._metrics.count("sample_tokens", tokens)
         self._hand_over(JobDone(running.job.ordinal, sample))
-        self.wake()
+        self._dispatcher.wake_all()
 
     async def _look_after_stragglers(self, nursery: trio.Nursery) -> None:
         """Move or hedge samples that take too long; one task."""
@@ -213,6 +214,7 @@
             elapsed_s=trio.current_time() - started_at,
             attempts=len(running.attempts),
             moves=running.moves,
+            ejected=self._dispatcher.is_ejected(running.attempts[0]),
             hedged_tokens=self.hedged_tokens,
             done_tokens=self.done_tokens,
             max_tokens=self.order.max_tokens,
@@ -222,6 +224,8 @@
     async def _move(self, running: RunningJob) -> None:
         """Ask the sampler to give a sample back, to go on elsewhere."""
         attempt = running.attempts[0]
+        if attempt.reclaimed:
+            return
         running.moves += 1
         running.avoid.add(attempt.instance)
         attempt.reclaimed = True
