Prove bundles under races, outages, lost replies and silent watches

The first tables held the bound of 4 s except with silent watches, which were found only after 10 s of silence.

Change: entries ask every 2 s for the newest revision below the live keys (keys only) and renew a watch that is behind; a history that is not there yet is read again. The contract of the key-value port runs on fake and adapter.

--- /dev/null
+++ b/features/steps/bundle_steps.py
@@ -0,0 +1,91 @@
+"""Steps on bundles, operators and the key-value service."""
+
+from behave.runner import Context
+from behave import then
+from behave import when
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import seed
+from hypothesis import settings
+from hypothesis import strategies
+from support.kv_contract import EXPECTED
+from support.kv_contract import run_on_adapter
+from support.kv_contract import run_on_fake
+from support.races import rotate_keys_case
+from support.races import run_race
+from support.rollouts import count_calls
+from support.rollouts import run_rollout
+
+DRAW_SEED = 20261204
+FULL_ENTRIES = 410
+
+
+@when("{row} is tried on the {service}")
+def try_row(context: Context, row: str, service: str) -> None:
+    """Run a row of the contract."""
+    run = run_on_fake if service == "fake" else run_on_adapter
+    context.row = row
+    context.found = run(row)
+
+
+@then("it does what the contract says")
+def check_row(context: Context) -> None:
+    """Compare with the contract."""
+    expected = EXPECTED[context.row]
+    assert context.found == expected, f"{context.found} is not {expected}"
+
+
+@then("{count:d} races of three operators keep every promise")
+def check_races(context: Context, count: int) -> None:
+    """Check many seeds, drawn alike on each run."""
+
+    @seed(DRAW_SEED)
+    @settings(
+        max_examples=count,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(strategies.integers(min_value=0, max_value=2**32))
+    def check(number: int) -> None:
+        broken = run_race(number).find_broken()
+        assert not broken, broken
+
+    check()
+
+
+@when("a partner's key is rotated")
+def rotate(context: Context) -> None:
+    """Rotate a key."""
+    context.found = rotate_keys_case()
+
+
+@then("the steps end with {text}")
+def check_steps(context: Context, text: str) -> None:
+    """Compare the outcomes."""
+    expected = [part.strip() for part in text.split(",")]
+    assert context.found == expected, context.found
+
+
+@when("a bundle is rolled and {blow}")
+def roll_around(context: Context, blow: str) -> None:
+    """Roll a bundle around a blow."""
+    context.rollout = run_rollout(blow)
+
+
+@then("it is in force everywhere within {seconds:g} s")
+def check_in_force(context: Context, seconds: float) -> None:
+    """Check the version and the time, in virtual seconds."""
+    rollout = context.rollout
+    assert set(rollout.versions.values()) == {2}, rollout.versions
+    assert rollout.took_s <= seconds, rollout.took_s
+
+
+@then("{entries:d} idle entries stay within the budget at full size")
+def check_budget(context: Context, entries: int) -> None:
+    """Check reads and writes a second, scaled to the full size."""
+    calls = count_calls(120.0, entries)
+    reads = (calls["read"] + calls["watch"]) / entries * FULL_ENTRIES
+    writes = calls["write"] / entries * FULL_ENTRIES
+    assert reads <= 500, f"{reads:.0f} reads/s"
+    assert writes <= 100, f"{writes:.0f} writes/s"
--- /dev/null
+++ b/features/support/races.py
@@ -0,0 +1,248 @@
+"""Support operators that race one another, by seed."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+import msgspec
+from pistachiospar.bundle.coordinator import BundleKeeper
+from pistachiospar.bundle.rolling import Beaten
+from pistachiospar.bundle.rolling import BundleRoller
+from pistachiospar.bundle.rolling import Rolled
+from pistachiospar.bundle.rolling import RollOutcome
+from pistachiospar.bundle.rolling import RollRefused
+from pistachiospar.bundle.rolling import RollUnknown
+from pistachiospar.live.coordinator import LiveCoordinator
+from pistachiospar.telemetry.metrics import Metrics
+from pistachiospar_standins.fakes.fleet import make_keys
+from pistachiospar_standins.fakes.fleet import public_keys
+from pistachiospar_standins.fakes.fleet import run_virtual
+from pistachiospar_standins.fakes.kv import FakeKeyValue
+from pistachiospar_standins.fakes.kv import KvFaultSet
+from pistachiospar_standins.kv.store import Store
+import trio
+
+from .bundles import make_bundle
+from .bundles import PARTNERS
+
+LIMIT_S = 3600.0
+OPERATORS = 3
+ROLLS = 3
+ROLL_TIMEOUT_S = 40.0
+CATCH_UP_S = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class RollRecord:
+    """Hold one roll and what its operator was told."""
+
+    name: str
+    digest: str
+    outcome: RollOutcome
+
+
+@dataclass(slots=True)
+class RaceResult:
+    """Hold what came of a race."""
+
+    seed: int
+    rolls: list[RollRecord] = field(default_factory=list)
+    history: list[str] = field(default_factory=list)
+    seen: list[list[int]] = field(default_factory=list)
+    last_version: int = 0
+
+    def find_broken(self) -> list[str]:
+        """Return the promises that broke."""
+        broken: list[str] = []
+        won = [roll for roll in self.rolls if isinstance(roll.outcome, Rolled)]
+        for roll in self.rolls:
+            effective = roll.digest in self.history
+            match roll.outcome:
+                case Rolled() if not effective:
+                    broken.append(f"{roll.name} rolled without effect")
+                case Beaten() | RollRefused() if effective:
+                    broken.append(f"{roll.name} refused, and took effect")
+                case RollUnknown():
+                    broken.append(f"{roll.name} stayed unknown")
+        versions = [
+            roll.outcome.version
+            for roll in won
+            if isinstance(roll.outcome, Rolled)
+        ]
+        if len(versions) != len(set(versions)):
+            broken.append(f"two winners of a version: {versions}")
+        for watcher in self.seen:
+            if watcher != sorted(set(watcher)):
+                broken.append(f"a process went back: {watcher}")
+            if watcher and watcher[-1] != self.last_version:
+                broken.append(f"a process stayed at {watcher[-1]}")
+        return [f"seed {self.seed}: {line}" for line in broken]
+
+
+def run_race(seed: int) -> RaceResult:
+    """Let three operators roll bundles at once, under faults."""
+    rng = Random(seed)
+    result = RaceResult(seed)
+    store = Store()
+
+    async def work() -> None:
+        faults = KvFaultSet()
+        async with trio.open_nursery() as nursery:
+            for number in range(2):
+                nursery.start_soon(watch, store, faults, rng, result)
+            nursery.start_soon(disturb, faults, rng)
+            async with trio.open_nursery() as operators:
+                for number in range(OPERATORS):
+                    kv = FakeKeyValue(store, faults)
+                    roller = BundleRoller(kv, rng)
+                    operators.start_soon(operate, roller, number, rng, result)
+            faults.down = False
+            faults.silent_watch = False
+            faults.latency_s = 0.002
+            await trio.sleep(10.0 + CATCH_UP_S)
+            nursery.cancel_scope.cancel()
+        roller = BundleRoller(FakeKeyValue(store, KvFaultSet()), rng)
+        history = (await roller.list_history()).unwrap()
+        result.history = [e.release.digest() for e in history]
+        if history:
+            result.last_version = history[-1].release.version
+
+    run_virtual(work, seed, LIMIT_S)
+    return result
+
+
+async def operate(
+    roller: BundleRoller, number: int, rng: Random, result: RaceResult
+) -> None:
+    """Roll some bundles, as one operator would."""
+    for turn in range(ROLLS):
+        await trio.sleep(rng.choice([0.0, 0.003, rng.uniform(0.0, 2.0)]))
+        name = f"op{number}-{turn}"
+        proposed = await roller.propose(make_bundle(name))
+        if proposed.is_err():
+            continue
+        digest = proposed.unwrap().digest()
+        signed = True
+        for partner, key in make_keys(PARTNERS).items():
+            done = await roller.sign(digest, partner, key)
+            signed = signed and done.is_ok()
+        if not signed and rng.random() < 0.5:
+            continue
+        deadline = trio.current_time() + ROLL_TIMEOUT_S
+        outcome = await roller.roll(digest, 0.0, deadline)
+        result.rolls.append(RollRecord(name, digest, outcome))
+
+
+async def watch(
+    store: Store, faults: KvFaultSet, rng: Random, result: RaceResult
+) -> None:
+    """Follow the bundle in force, as an entry does."""
+    keeper = BundleKeeper(public_keys(PARTNERS))
+    kv = FakeKeyValue(store, faults)
+    live = LiveCoordinator(kv, keeper, Metrics(), rng)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(go_stale, kv, rng)
+        await follow(live, keeper, result)
+
+
+async def go_stale(kv: FakeKeyValue, rng: Random) -> None:
+    """Let some reads see an older state."""
+    while True:
+        kv.freeze_reads()
+        await trio.sleep(rng.uniform(0.0, 3.0))
+        kv.stale_reads = rng.choice([0, 0, 1, 3])
+        await trio.sleep(rng.uniform(0.0, 1.0))
+        kv.stale_reads = 0
+
+
+async def follow(
+    live: LiveCoordinator, keeper: BundleKeeper, result: RaceResult
+) -> None:
+    """Note each version that comes into force."""
+    seen: list[int] = []
+    result.seen.append(seen)
+
+    def note() -> None:
+        if not seen or seen[-1] != keeper.version:
+            seen.append(keeper.version)
+
+    live.subscribe(note)
+    await live.run_watch()
+
+
+async def disturb(faults: KvFaultSet, rng: Random) -> None:
+    """Disturb the service at random."""
+    while True:
+        await trio.sleep(rng.uniform(0.0, 1.0))
+        match rng.randint(0, 4):
+            case 0:
+                faults.lose_replies += rng.randint(1, 3)
+            case 1:
+                faults.down = True
+                await trio.sleep(rng.uniform(0.0, 5.0))
+                faults.down = False
+            case 2:
+                faults.latency_s = rng.choice([0.002, 0.3, 1.9, 2.5])
+                await trio.sleep(rng.uniform(0.0, 3.0))
+                faults.latency_s = 0.002
+            case 3:
+                faults.silent_watch = True
+                await trio.sleep(rng.uniform(0.0, 12.0))
+                faults.silent_watch = False
+            case _:
+                faults.lose_reply_every = rng.choice([0, 2, 3])
+
+
+def rotate_keys_case() -> list[str]:
+    """Rotate a partner's key; return what the processes hold."""
+    found: list[str] = []
+
+    async def work() -> None:
+        store = Store()
+        kv = FakeKeyValue(store, KvFaultSet())
+        roller = BundleRoller(kv, Random(1))
+        keys = make_keys(PARTNERS)
+        await roll_signed(roller, "first", keys, found)
+        other = make_keys(["x", "y", "north"])["north"]
+        bundle = make_bundle("rotated")
+        partners = [
+            msgspec.structs.replace(
+                partner, public_key=public_keys(["x", "y", "north"])["north"]
+            )
+            if partner.name == "north"
+            else partner
+            for partner in bundle.partners
+        ]
+        rotated = msgspec.structs.replace(bundle, partners=partners)
+        release = (await roller.propose(rotated)).unwrap()
+        digest = release.digest()
+        for partner, key in keys.items():
+            await roller.sign(digest, partner, key)
+        outcome = await roller.roll(digest, 0.0, trio.current_time() + 5.0)
+        found.append(f"old keys only: {type(outcome).__name__}")
+        await roller.sign(digest, "north", other)
+        outcome = await roller.roll(digest, 0.0, trio.current_time() + 5.0)
+        found.append(f"old and new keys: {type(outcome).__name__}")
+        keeper = BundleKeeper(public_keys(PARTNERS))
+        live = LiveCoordinator(kv, keeper, Metrics(), Random(2))
+        with trio.move_on_after(3.0):
+            await live.run_watch()
+        found.append(f"a new process: version {keeper.version}")
+
+    run_virtual(work, 1, LIMIT_S)
+    return found
+
+
+async def roll_signed(
+    roller: BundleRoller,
+    name: str,
+    keys: dict[str, bytes],
+    found: list[str],
+) -> None:
+    """Propose, sign and roll a bundle."""
+    release = (await roller.propose(make_bundle(name))).unwrap()
+    for partner, key in keys.items():
+        await roller.sign(release.digest(), partner, key)
+    deadline = trio.current_time() + 5.0
+    outcome = await roller.roll(release.digest(), 0.0, deadline)
+    found.append(f"{name}: {type(outcome).__name__}")
--- /dev/null
+++ b/features/support/rollouts.py
@@ -0,0 +1,150 @@
+"""Support bundles that come into force at entries and sidecars."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+
+from pistachiospar_standins.fakes.fleet import FleetPlan
+from pistachiospar_standins.fakes.fleet import MemoryFleet
+from pistachiospar_standins.fakes.fleet import run_virtual
+import trio
+
+from .bundles import make_bundle
+
+LIMIT_S = 7200.0
+HOUR_S = 3600.0
+
+
+@dataclass(slots=True)
+class RolloutResult:
+    """Hold when a version came into force; times are in seconds."""
+
+    took_s: float = 0.0
+    versions: dict[str, int] = field(default_factory=dict)
+    current: dict[str, bool] = field(default_factory=dict)
+
+
+Blow = Callable[[MemoryFleet], Awaitable[None]]
+
+
+async def nothing(fleet: MemoryFleet) -> None:
+    """Disturb nothing."""
+
+
+async def silent_watch(fleet: MemoryFleet) -> None:
+    """Let the watches go silent, then roll; they are found and renewed."""
+    fleet.kv_faults.silent_watch = True
+    await trio.sleep(1.0)
+
+
+async def outage(fleet: MemoryFleet) -> None:
+    """Take the service down for an hour; it is back when rolling."""
+    fleet.kv_faults.down = True
+    await trio.sleep(HOUR_S)
+    fleet.kv_faults.down = False
+
+
+async def restart_entry_in_outage(fleet: MemoryFleet) -> None:
+    """Restart an entry while the service is down for good."""
+    fleet.kv_faults.down = True
+    await trio.sleep(20.0)
+    fleet.kill_entry("entry-2")
+    fleet.start_entry("entry-2")
+
+
+async def restart_sidecar_in_outage(fleet: MemoryFleet) -> None:
+    """Restart a sidecar while the service is down for good."""
+    fleet.kv_faults.down = True
+    await trio.sleep(20.0)
+    fleet.kill_sidecar("plain-1")
+    await fleet.start_sidecar("plain-1")
+
+
+async def restart_all_sidecars(fleet: MemoryFleet) -> None:
+    """Restart all sidecars and one entry, the service being down."""
+    fleet.kv_faults.down = True
+    for name in fleet.hosts:
+        fleet.kill_sidecar(name)
+        await fleet.start_sidecar(name)
+    fleet.kill_entry("entry-1")
+    await trio.sleep(3.0)
+    fleet.start_entry("entry-1")
+
+
+ROLLED_FIRST: dict[str, Blow] = {
+    "an entry restarts in an outage": restart_entry_in_outage,
+    "a sidecar restarts in an outage": restart_sidecar_in_outage,
+    "all sidecars and an entry restart in an outage": restart_all_sidecars,
+}
+ROLLED_AFTER: dict[str, Blow] = {
+    "nothing happens": nothing,
+    "the service was down for an hour": outage,
+    "the watches are silent": silent_watch,
+}
+
+
+def run_rollout(blow: str) -> RolloutResult:
+    """Roll version 2 around a blow; wait until it is in force."""
+
+    async def work() -> RolloutResult:
+        fleet = MemoryFleet(
+            FleetPlan(make_bundle(), 3, {"plain": 3, "engine": 2})
+        )
+        result = RolloutResult()
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            if blow in ROLLED_AFTER:
+                await ROLLED_AFTER[blow](fleet)
+            await fleet.roll(make_bundle("second"))
+            started = trio.current_time()
+            if blow in ROLLED_FIRST:
+                await trio.sleep(5.0)
+                await ROLLED_FIRST[blow](fleet)
+                started = trio.current_time()
+            while min(read_versions(fleet).values()) < 2:
+                await trio.sleep(0.05)
+                if trio.current_time() - started > 60.0:
+                    break
+            result.took_s = trio.current_time() - started
+            result.versions = read_versions(fleet)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run_virtual(work, 9, LIMIT_S)
+
+
+def read_versions(fleet: MemoryFleet) -> dict[str, int]:
+    """Return the version in force at each process."""
+    found = {n: e.keeper.version for n, e in fleet.entries.items()}
+    for name, host in fleet.hosts.items():
+        if host.coordinator is not None:
+            found[name] = host.coordinator.keeper.version
+    return found
+
+
+def count_calls(seconds: float, entries: int) -> dict[str, float]:
+    """Return the calls a second to the service of idle entries."""
+
+    async def work() -> dict[str, float]:
+        fleet = MemoryFleet(
+            FleetPlan(make_bundle(), entries, {"plain": 2, "engine": 1})
+        )
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            before = sum_calls(fleet)
+            await trio.sleep(seconds)
+            after = sum_calls(fleet)
+            nursery.cancel_scope.cancel()
+        return {k: (after[k] - before.get(k, 0)) / seconds for k in after}
+
+    return run_virtual(work, 3, LIMIT_S)
+
+
+def sum_calls(fleet: MemoryFleet) -> dict[str, int]:
+    """Return the calls made so far, by kind."""
+    total: dict[str, int] = {"read": 0, "write": 0, "watch": 0}
+    for kv in fleet.kvs.values():
+        for kind, count in kv.calls.items():
+            total[kind] += count
+    return total
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -36,7 +36,6 @@
     latency_s: float = 0.002
     lose_replies: int = 0
     lose_reply_every: int = 0
-    stale_reads: int = 0
     silent_watch: bool = False
 
 
@@ -48,8 +47,10 @@
         self._store = store
         self.faults = faults
         self.calls: Counter[str] = Counter()
+        self.stale_reads = 0
         self._writes = 0
-        self._stale: dict[str, list[StoredItem]] = {}
+        self._stale: list[StoredItem] = []
+        self._frozen_at = 0
 
     async def list_items(
         self, prefix: str
@@ -59,8 +60,10 @@
         if fault is not None:
             return Err(fault)
         end = end_of_prefix(prefix).decode()
+        stale = self.stale_reads > 0
         items = [_make_item(i) for i in self._read(prefix, end)]
-        return Ok((items, self._store.revision))
+        revision = self._frozen_at if stale else self._store.revision
+        return Ok((items, revision))
 
     async def get_item(self, key: str) -> Result[KvItem | None, KvError]:
         """Return one item, or None."""
@@ -70,6 +73,15 @@
         items = self._read(key, "")
         return Ok(_make_item(items[0]) if items else None)
 
+    async def find_newest(self, prefix: str) -> Result[int, KvError]:
+        """Return the newest revision below a prefix, 0 for none."""
+        fault = await self._enter("read")
+        if fault is not None:
+            return Err(fault)
+        end = end_of_prefix(prefix).decode()
+        items = self._read(prefix, end)
+        return Ok(max((item.revision for item in items), default=0))
+
     async def put_if(
         self,
         key: str,
@@ -158,15 +170,16 @@
 
     def freeze_reads(self) -> None:
         """Let the next stale reads see the store as it is now."""
-        self._stale = {"": list(self._store.items.values())}
+        self._stale = list(self._store.items.values())
+        self._frozen_at = self._store.revision
 
     def _read(self, key: str, end: str) -> list[StoredItem]:
         """Read, maybe from an older state."""
-        if self.faults.stale_reads > 0 and self._stale:
-            self.faults.stale_reads -= 1
+        if self.stale_reads > 0:
+            self.stale_reads -= 1
             return [
                 item
-                for item in self._stale[""]
+                for item in self._stale
                 if item.key == key or (end and key <= item.key < end)
             ]
         return self._store.read(key, end)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
@@ -120,9 +120,14 @@
         """Answer a range request."""
         end = models.decode_bytes(asked.range_end).decode()
         items = self.store.read(models.decode_bytes(asked.key).decode(), end)
-        return models.RangeResponse(
-            self._header(), [_make_message(item) for item in items]
-        )
+        if asked.sort_target == "MOD":
+            items.sort(key=lambda item: item.revision)
+        if asked.sort_order == "DESCEND":
+            items.reverse()
+        if int(asked.limit):
+            items = items[: int(asked.limit)]
+        messages = [_make_message(item, asked.keys_only) for item in items]
+        return models.RangeResponse(self._header(), messages)
 
     def _put(self, put: models.PutRequest) -> bool:
         """Write a key."""
@@ -187,11 +192,11 @@
         await exchange.write(data + b"\n")
 
 
-def _make_message(item: StoredItem) -> models.KeyValueMessage:
+def _make_message(item: StoredItem, keys_only: bool) -> models.KeyValueMessage:
     """Make the message of one key."""
     return models.KeyValueMessage(
         models.encode_bytes(item.key.encode()),
-        models.encode_bytes(item.value),
+        "" if keys_only else models.encode_bytes(item.value),
         str(item.revision),
         str(item.lease),
     )
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -47,6 +47,23 @@
         answer = await self._range(key, "")
         return answer.map(lambda got: next(iter(_read_range(got)[0]), None))
 
+    async def find_newest(self, prefix: str) -> Result[int, KvError]:
+        """Return the newest revision below a prefix, 0 for none."""
+        request = models.RangeRequest(
+            models.encode_bytes(prefix.encode()),
+            models.encode_bytes(models.end_of_prefix(prefix)),
+            limit="1",
+            sort_order="DESCEND",
+            sort_target="MOD",
+            keys_only=True,
+        )
+        answer = await self._call(
+            const.PATH_RANGE, request, models.RangeResponse
+        )
+        return answer.map(
+            lambda got: int(got.kvs[0].mod_revision) if got.kvs else 0
+        )
+
     async def put_if(
         self,
         key: str,
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/models.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/models.py
@@ -29,6 +29,10 @@
 
     key: str
     range_end: str = ""
+    limit: str = "0"
+    sort_order: str = "NONE"
+    sort_target: str = "KEY"
+    keys_only: bool = False
 
 
 class RangeResponse(msgspec.Struct):
--- a/packages/pistachiospar/src/pistachiospar/bundle/rolling.py
+++ b/packages/pistachiospar/src/pistachiospar/bundle/rolling.py
@@ -198,7 +198,7 @@
         current = pointer.envelope
         if current is not None:
             if current.release.version >= release.version:
-                return await self._judge_past(envelope, current)
+                return await self._judge_past(envelope)
         refusal = check_roll(envelope, current)
         if refusal:
             return RollRefused(refusal)
@@ -213,15 +213,19 @@
             return Rolled(release.version, release.digest())
         return RollUnknown("to be read back")
 
-    async def _judge_past(
-        self, envelope: Envelope, current: Envelope
-    ) -> RollOutcome:
-        """Decide on a roll when its version is taken already."""
+    async def _judge_past(self, envelope: Envelope) -> RollOutcome:
+        """Decide on a roll when its version is taken already.
+
+        The history stands in the same transaction as the pointer: a reading
+        without it is stale, and read again.
+        """
         version = envelope.release.version
         answer = await self._kv.get_item(_name_history(version))
         if isinstance(answer, Err):
             return RollUnknown(answer.err_value.detail)
-        winner = _decode(answer.ok_value, Envelope) or current
+        winner = _decode(answer.ok_value, Envelope)
+        if winner is None:
+            return RollUnknown("the history is not there yet")
         if winner.writer == envelope.writer:
             return Rolled(version, envelope.release.digest())
         return Beaten(winner.release.version, winner.release.digest())
--- a/packages/pistachiospar/src/pistachiospar/live/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/live/coordinator.py
@@ -48,6 +48,8 @@
         self.entries: dict[str, EntryRecord] = {}
         self.weights: dict[str, AnnouncedWeights] = {}
         self.heard_at: float | None = None
+        self._seen_revision = 0
+        self._watch_scope = trio.CancelScope()
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change."""
@@ -58,11 +60,32 @@
         failures = 0
         while True:
             before = self.heard_at
-            await self._read_and_watch()
+            self._watch_scope = trio.CancelScope()
+            with self._watch_scope:
+                await self._read_and_watch()
+            if self._watch_scope.cancelled_caught:
+                continue
             failures = failures + 1 if self.heard_at == before else 0
             self._metrics.count("watch_ended")
             await trio.sleep(self._backoff.delay(failures, self._rng))
 
+    async def run_check(self) -> None:
+        """Ask whether the watch has missed anything; one task.
+
+        A watch can go silent while new calls work. One small reading tells
+        the newest revision; when the watch is behind, it is made anew.
+        """
+        while True:
+            spread = 1.0 + const.JITTER_SHARE * (self._rng.random() - 0.5)
+            await trio.sleep(const.CHECK_S * spread)
+            newest = (await self._kv.find_newest(PREFIX_LIVE)).unwrap_or(0)
+            if newest <= self._seen_revision:
+                continue
+            await trio.sleep(const.CHECK_AGAIN_S * self._rng.random())
+            if newest > self._seen_revision:
+                self._metrics.count("watch_behind")
+                self._watch_scope.cancel()
+
     def offer_envelope(self, envelope: Envelope, now: float) -> Offer:
         """Offer a bundle, from whatever source."""
         offer = self._keeper.offer(envelope, now)
@@ -92,6 +115,7 @@
             return
         items, revision = answer.ok_value
         self.heard_at = trio.current_time()
+        self._seen_revision = revision
         await self._take_all(items)
         watch = self._kv.watch(PREFIX_LIVE, revision + 1)
         async with aclosing(watch):
@@ -100,6 +124,7 @@
                     return
                 self.heard_at = trio.current_time()
                 for event in events.ok_value:
+                    self._seen_revision = event.revision
                     await self._take_event(event)
                 if events.ok_value:
                     self._tell_listeners()
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -69,6 +69,12 @@
     async def get_item(self, key: str) -> Result[KvItem | None, KvError]:
         """Return one item, or None."""
 
+    async def find_newest(self, prefix: str) -> Result[int, KvError]:
+        """Return the newest revision below a prefix, 0 for none.
+
+        No value travels.
+        """
+
     async def put_if(
         self,
         key: str,
