Carry control messages in frames over TCP, and ask idle links seldom

A unit of work and a heartbeat both belong to the same link, so sharing one socket would have reversed who dials.

Change: one TCP connection a link with length-prefixed frames, one task for each; a fault closes it, so that a late reply is never taken for another's. Links without quiet attempts are asked each 2 to 10 s, 12 a second in all; links with them at most 10 a second. A sampler that serves nothing yet loads its first weights without waiting for a wave. pynng is no longer needed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,11 +8,15 @@
 import sys
 import time
 
+from . import capacity
+from . import path
 from . import policy
 from . import training
 from .models import Table
 
 BENCHES: dict[str, Callable[[Table], None]] = {
+    "capacity": capacity.measure,
+    "path": path.measure,
     "policy": policy.measure,
     "training": training.measure,
 }
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,88 @@
+"""Support measuring real processes: processor time, memory, fits."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+import os
+from pathlib import Path
+import signal
+from statistics import linear_regression
+import subprocess
+import sys
+import time
+import urllib.request
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+BIN = Path(sys.executable).parent
+START_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Hold a fitted line and its largest distance from a point."""
+
+    slope: float
+    base: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the value at a size."""
+        return self.base + self.slope * size
+
+
+def fit_line(sizes: list[float], values: list[float]) -> Line:
+    """Fit a line by least squares."""
+    slope, base = linear_regression(sizes, values)
+    residual = max(
+        abs(base + slope * size - value)
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return Line(slope, base, residual)
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def read_resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
+
+
+def measure_cpu_share(pid: int, seconds: float) -> float:
+    """Return the share of a core that a process takes."""
+    before, started = read_cpu_s(pid), time.monotonic()
+    time.sleep(seconds)
+    return (read_cpu_s(pid) - before) / (time.monotonic() - started)
+
+
+@contextmanager
+def run_process(*command: str) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a process; end it in any case."""
+    process = subprocess.Popen(
+        command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+    )
+    try:
+        yield process
+    finally:
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+
+def wait_for(url: str) -> None:
+    """Wait until a URL answers 200; raises TimeoutError."""
+    deadline = time.monotonic() + START_S
+    while time.monotonic() < deadline:
+        try:
+            with urllib.request.urlopen(url, timeout=2.0) as answer:
+                if answer.status == 200:
+                    return
+        except OSError:
+            pass
+        time.sleep(0.1)
+    raise TimeoutError(url)
--- a/packages/pistachiospar/src/pistachiospar/adapters/__init__.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters: the ports over h11, pynng and the disk."""
+"""Adapters: the ports over h11, TCP and the disk."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/__init__.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/__init__.py
@@ -1,1 +1,1 @@
-"""The link over h11 (requests) and pynng (control)."""
+"""The link: h11 for requests, frames over TCP for control."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/client.py
@@ -1,19 +1,14 @@
-"""Support the entry's side of the link: h11 and pynng."""
+"""Support the entry's side of the link."""
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-import pynng
 from result import Err
 from result import Ok
 from result import Result
-import trio
 
-from ...link.codec import decode_control_reply
 from ...link.codec import decode_reply
 from ...link.codec import encode_header
-from ...link.codec import encode_message
-from ...link.const import CONTROL_TIMEOUT_S
 from ...link.const import HEADER_ORDER
 from ...link.const import HEADER_REPLY
 from ...link.const import PATH_RUN
@@ -22,7 +17,6 @@
 from ...link.messages import Answered
 from ...link.messages import BundlePull
 from ...link.messages import BundlePush
-from ...link.messages import ControlReply
 from ...link.messages import ControlRequest
 from ...link.messages import RunOrder
 from ...link.messages import RunReply
@@ -35,6 +29,7 @@
 from ..http.client import HttpStreamAnswer
 from ..http.errors import ConnectError
 from ..http.errors import HttpError
+from .control import ControlChannel
 
 
 class HttpRunStream:
@@ -69,8 +64,7 @@
     def __init__(self, data: Address, control: Address) -> None:
         """Begin with no connection."""
         self._pool = HttpPool(data)
-        self._control = control
-        self._socket: pynng.Req0 | None = None
+        self._control = ControlChannel(control)
 
     @asynccontextmanager
     async def run(
@@ -92,7 +86,7 @@
         self, request: ControlRequest
     ) -> Result[Status, str]:
         """Send a heartbeat or a bundle within the control timeout."""
-        reply = await self._ask(request)
+        reply = await self._control.exchange(request)
         match reply:
             case Ok(Status() as status):
                 return Ok(status)
@@ -102,7 +96,7 @@
 
     async def pull_bundle(self, epoch: int) -> Result[BundlePush, str]:
         """Return the sidecar's bundle and the key changes after an epoch."""
-        reply = await self._ask(BundlePull(epoch))
+        reply = await self._control.exchange(BundlePull(epoch))
         match reply:
             case Ok(BundlePush() as push):
                 return Ok(push)
@@ -112,11 +106,11 @@
 
     async def settle(self, order: SettleOrder) -> Result[Settlement, str]:
         """Ask over a fresh link what became of a request."""
-        socket = _dial(self._control)
+        channel = ControlChannel(self._control.address)
         try:
-            reply = await _exchange(socket, order)
+            reply = await channel.exchange(order)
         finally:
-            socket.close()
+            channel.close()
         match reply:
             case Ok(Settlement() as settlement):
                 return Ok(settlement)
@@ -127,47 +121,7 @@
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
-        self._close_control()
-
-    async def _ask(self, request: ControlRequest) -> Result[ControlReply, str]:
-        """Exchange messages over the kept socket."""
-        if self._socket is None:
-            self._socket = _dial(self._control)
-        reply = await _exchange(self._socket, request)
-        if isinstance(reply, Err):
-            self._close_control()
-        return reply
-
-    def _close_control(self) -> None:
-        """Close the control socket, so that the next call dials anew."""
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
-
-
-def _dial(address: Address) -> pynng.Req0:
-    """Open a control socket; it connects in the background."""
-    return pynng.Req0(
-        dial=f"tcp://{address}",
-        block_on_dial=False,
-        resend_time=const.NEVER_RESEND_MS,
-        reconnect_time_min=const.RECONNECT_MIN_MS,
-        reconnect_time_max=const.RECONNECT_MAX_MS,
-        recv_max_size=const.CONTROL_MAX_BYTES,
-    )
-
-
-async def _exchange(
-    socket: pynng.Req0, request: ControlRequest
-) -> Result[ControlReply, str]:
-    """Send one request and wait for its reply."""
-    try:
-        with trio.fail_after(CONTROL_TIMEOUT_S):
-            await socket.asend(encode_message(request))
-            data = await socket.arecv()
-    except (pynng.NNGException, trio.TooSlowError) as error:
-        return Err(repr(error))
-    return decode_control_reply(data)
+        self._control.close()
 
 
 def _read_reply(order: RunOrder, answer: HttpStreamAnswer) -> RunReply:
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -1,6 +1,5 @@
-"""Support the sidecar's side of the link: h11 and pynng."""
+"""Support the sidecar's side of the link."""
 
-import pynng
 from result import Err
 import trio
 
@@ -8,7 +7,6 @@
 from ...link.codec import decode_order
 from ...link.codec import encode_header
 from ...link.codec import encode_message
-from ...link.const import CONTROL_WORKERS
 from ...link.const import HEADER_ORDER
 from ...link.const import HEADER_REPLY
 from ...link.const import PATH_RUN
@@ -25,6 +23,8 @@
 from ..http.client import Address
 from ..http.models import HttpRequest
 from ..http.server import Exchange
+from .control import FrameError
+from .control import FrameStream
 
 
 class HttpAnswerSink:
@@ -92,38 +92,46 @@
             return coordinator.settle(request, now)
 
 
+class ControlHandler:
+    """Serve the control channel: one task for each connection."""
+
+    def __init__(self, coordinator: SidecarCoordinator) -> None:
+        """Take the coordinator."""
+        self._coordinator = coordinator
+
+    async def handle_connection(self, stream: trio.abc.Stream) -> None:
+        """Answer requests until the entry closes."""
+        frames = FrameStream(stream)
+        try:
+            while True:
+                request = decode_control_request(await frames.receive())
+                if isinstance(request, Err):
+                    self._coordinator.metrics.count("control_unreadable")
+                    return
+                reply = answer_control(
+                    self._coordinator, request.ok_value, trio.current_time()
+                )
+                await frames.send(encode_message(reply))
+        except (
+            FrameError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
+            return
+        finally:
+            await trio.aclose_forcefully(stream)
+
+
 async def serve_control(
     coordinator: SidecarCoordinator,
     address: Address,
     *,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve the control channel until cancelled."""
-    with pynng.Rep0(
-        listen=f"tcp://{address}", recv_max_size=const.CONTROL_MAX_BYTES
-    ) as socket:
-        async with trio.open_nursery() as nursery:
-            for _ in range(CONTROL_WORKERS):
-                nursery.start_soon(
-                    _serve_context, coordinator, socket.new_context()
-                )
-            task_status.started()
-
-
-async def _serve_context(
-    coordinator: SidecarCoordinator, context: pynng.Context
-) -> None:
-    """Answer control requests one after the other."""
-    while True:
-        try:
-            data = await context.arecv()
-            request = decode_control_request(data)
-            if isinstance(request, Err):
-                coordinator.metrics.count("control_unreadable")
-                continue
-            reply = answer_control(
-                coordinator, request.ok_value, trio.current_time()
-            )
-            await context.asend(encode_message(reply))
-        except pynng.NNGException:
-            coordinator.metrics.count("control_faults")
+    """Serve the control channel until cancelled; raises OSError."""
+    listeners = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=const.LISTEN_BACKLOG
+    )
+    task_status.started()
+    handler = ControlHandler(coordinator)
+    await trio.serve_listeners(handler.handle_connection, listeners)
--- a/packages/pistachiospar/src/pistachiospar/membership/attempts.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/attempts.py
@@ -5,6 +5,7 @@
 sent, or that the sidecar never saw, hangs on a connection that lost its way.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -32,7 +33,7 @@
         self.suspected = False
 
 
-def find_quiet(attempts: list[Attempt], now: float) -> list[Attempt]:
+def find_quiet(attempts: Iterable[Attempt], now: float) -> list[Attempt]:
     """Return the attempts to ask after."""
     return [a for a in attempts if now - a.heard_at >= QUIET_S]
 
--- a/packages/pistachiospar/src/pistachiospar/membership/const.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/const.py
@@ -8,9 +8,10 @@
 ENTRIES_PER_INSTANCE: Final = 4
 SMALL_UPSTREAM: Final = 16
 
-BEAT_S: Final = 1.0
-BEAT_MOST_S: Final = 5.0
-BEATS_PER_S: Final = 24.0
+BEAT_S: Final = 2.0
+BEAT_MOST_S: Final = 10.0
+BEATS_PER_S: Final = 12.0
+QUIET_BEATS: Final = 10
 BEAT_JITTER: Final = 0.1
 RETRY_FIRST_S: Final = 0.2
 RETRY_MOST_S: Final = 2.0
--- a/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
@@ -16,6 +16,7 @@
 from ..ports.link import SidecarLink
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .attempts import find_quiet
 from .models import InstanceView
 from .outliers import decide_ejection
 from .peer import SidecarPeer
@@ -74,6 +75,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self.poll_once(nursery)
+                self._ask_after_quiet(trio.current_time())
                 spread = 1.0 + const.POLL_JITTER * (self._rng.random() - 0.5)
                 await trio.sleep(const.POLL_S * spread)
 
@@ -92,6 +94,20 @@
             self._changed = False
             await self._resubset(nursery)
 
+    def _ask_after_quiet(self, now: float) -> None:
+        """Send heartbeats where attempts are quiet, a few at a time.
+
+        Links without such attempts are asked seldom, to save control work.
+        """
+        quiet = [
+            peer
+            for peer in self.peers.values()
+            if peer.attempts and find_quiet(peer.attempts.values(), now)
+        ]
+        quiet.sort(key=lambda peer: peer.view.status_at)
+        for peer in quiet[: const.QUIET_BEATS]:
+            peer.nudge()
+
     def _take_list(self, instances: list[Instance]) -> None:
         """Take over the list."""
         now = trio.current_time()
@@ -156,6 +172,8 @@
 
     def _judge(self, view: InstanceView, now: float) -> None:
         """Eject an instance whose streams became far too slow."""
+        if view.status is None or not view.status.ms_per_token:
+            return
         views = self.list_views(view.instance.upstream)
         reason = decide_ejection(view, views, now, self._rng)
         if reason:
--- a/packages/pistachiospar/src/pistachiospar/membership/orders.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/orders.py
@@ -23,8 +23,13 @@
     instance: Instance,
     members: list[Instance],
     held: dict[str, int],
+    loaded: frozenset[str],
 ) -> list[WeightOrder]:
-    """Return the orders that an instance has not yet carried out."""
+    """Return the orders that an instance has not yet carried out.
+
+    `held` are the versions it certainly holds, `loaded` the models it
+    serves at all: one that serves nothing yet need not wait for its wave.
+    """
     orders: list[WeightOrder] = []
     for trainer in bundle.trainers:
         weights = announced.get(trainer.name)
@@ -35,14 +40,16 @@
             continue
         if held.get(trainer.name, 0) >= weights.version:
             continue
+        wave = 0
+        if trainer.name in loaded:
+            wave = choose_wave(upstream, weights, instance, members)
         orders.append(
             WeightOrder(
                 model=trainer.name,
                 version=weights.version,
                 source=weights.source,
                 fence=weights.fence,
-                delay_s=WAVE_S
-                * choose_wave(upstream, weights, instance, members),
+                delay_s=WAVE_S * wave,
             )
         )
     return orders
--- a/packages/pistachiospar/src/pistachiospar/membership/peer.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/peer.py
@@ -73,7 +73,7 @@
     async def beat_once(self) -> None:
         """Send one heartbeat and act on its answer."""
         now = trio.current_time()
-        quiet = find_quiet(list(self.attempts.values()), now)
+        quiet = find_quiet(self.attempts.values(), now)
         beat = Heartbeat(
             entry=self._entry,
             bundle_version=self._keeper.version,
@@ -156,12 +156,15 @@
         bundle = self._keeper.bundle()
         if bundle is None:
             return []
+        status = self.view.status
+        models = status.held if status is not None else []
         return make_weight_orders(
             bundle,
             self._live.weights,
             self.view.instance,
             self.members,
             self.view.versions,
+            frozenset(held.model for held in models),
         )
 
     def _choose_pause(self) -> float:
--- a/packages/pistachiospar/src/pistachiospar/requests/choice.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/choice.py
@@ -124,7 +124,9 @@
     The ranking covers instances that went away lately: the key's record may
     have gone with them, so a request that would have been theirs is in
     doubt until its record would have expired. So is one whose instance
-    restarted, or took the key over from another, within that time.
+    restarted, or took the key over from another, within that time. One
+    that is reached but not usable is asked all the same: it answers a known
+    key and refuses others with certainty.
     """
     by_name = {view.name: view for view in views}
     ranked = rank(
@@ -138,9 +140,9 @@
         reason = f"the key's instance {owner} is gone"
         return NoInstance(reason, const.UNKNOWN_KEY_RETRY_S, True)
     status = view.status
-    if not view.is_usable() or status is None:
+    if status is None or view.missed:
         reason = f"the key's instance {owner} is {view.why_not_usable()}"
-        return NoInstance(reason, 1.0, not view.draining)
+        return NoInstance(reason, 1.0, True)
     if status.uptime_s < record_ttl_s and _has_restarted(view, wall_s):
         reason = f"the key's instance {owner} restarted"
         return NoInstance(reason, record_ttl_s - status.uptime_s, True)
