--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 from . import capacity
 from . import path
 from . import policy
+from . import service
 from . import training
 from .models import Table
 
@@ -18,6 +19,7 @@
     "capacity": capacity.measure,
     "path": path.measure,
     "policy": policy.measure,
+    "service": service.measure,
     "training": training.measure,
 }
 
