Tell a call in flight to close when its entry stops

Cause: a new row showed that only calls begun after SIGTERM carried 'Connection: close'; one in flight kept its connection alive, and its caller would send the next call into a closing process.

Change: the head of an answer looks at the server's state when it is sent.

--- a/features/support/kv_contract.py
+++ b/features/support/kv_contract.py
@@ -186,7 +186,8 @@
 
     async def work() -> list[object]:
         handler = KvHandler(KvSettings())
-        async with serve_loopback(HttpServer(handler.handle)) as address:
+        server = HttpServer(handler.handle)
+        async with serve_loopback(server.handle_connection) as address:
             bench = Bench(EtcdKeyValue(address), handler.store, handler.faults)
             return await ROWS[row](bench)
 
@@ -194,13 +195,13 @@
 
 
 @asynccontextmanager
-async def serve_loopback(server: HttpServer) -> AsyncIterator[Address]:
+async def serve_loopback(
+    handle: Callable[[trio.SocketStream], Awaitable[None]],
+) -> AsyncIterator[Address]:
     """Serve on a free port of loopback."""
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = int(listeners[0].socket.getsockname()[1])
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            trio.serve_listeners, server.handle_connection, listeners
-        )
+        nursery.start_soon(trio.serve_listeners, handle, listeners)
         yield Address("127.0.0.1", port)
         nursery.cancel_scope.cancel()
--- /dev/null
+++ b/features/support/stopping.py
@@ -0,0 +1,107 @@
+"""Support callers that go away, and processes that are told to stop."""
+
+from dataclasses import dataclass
+
+from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.adapters.http.server import HttpServer
+from pistachiospar_standins.fakes.fleet import FleetPlan
+from pistachiospar_standins.fakes.fleet import MemoryFleet
+from pistachiospar_standins.fakes.fleet import run_virtual
+from pistachiospar_standins.fakes.sinks import AnswerExchange
+import trio
+import trio.testing
+
+from .bundles import make_bundle
+from .raw_http import make_call
+
+LIMIT_S = 300.0
+APP = ("Pistachiospar-Caller: app",)
+PROMPT = b'{"prompt": "long", "max_tokens": 4000}'
+
+
+@dataclass(frozen=True, slots=True)
+class Occupancy:
+    """Hold what callers occupy at an engine."""
+
+    running: int
+    queued: int
+    streams: int
+
+
+def leave_callers() -> list[Occupancy]:
+    """Let three callers come to one slot, then go away."""
+
+    async def work() -> list[Occupancy]:
+        plan = FleetPlan(make_bundle(), 1, {"plain": 1, "engine": 1}, slots=1)
+        fleet = MemoryFleet(plan)
+        found: list[Occupancy] = []
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            async with trio.open_nursery() as callers:
+                for _ in range(3):
+                    callers.start_soon(_complete, fleet)
+                await trio.sleep(1.0)
+                found.append(_look(fleet))
+                callers.cancel_scope.cancel()
+            await trio.sleep(1.0)
+            found.append(_look(fleet))
+            nursery.cancel_scope.cancel()
+        return found
+
+    return run_virtual(work, 2, LIMIT_S)
+
+
+async def _complete(fleet: MemoryFleet) -> None:
+    """Ask for a long completion."""
+    headers = {"pistachiospar-caller": "app"}
+    target = "/upstreams/engine/v1/completions"
+    request = HttpRequest("POST", target, "", headers, PROMPT)
+    handler = fleet.entries["entry-1"].handler
+    await handler.handle(request, AnswerExchange())
+
+
+def _look(fleet: MemoryFleet) -> Occupancy:
+    """Return what is occupied."""
+    coordinator = fleet.hosts["engine-1"].coordinator
+    if coordinator is None:
+        return Occupancy(0, 0, 0)
+    gate = coordinator.gate
+    streams = fleet.engines["engine-1"].model.running
+    return Occupancy(gate.running, len(gate.queue), streams)
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Hold what two connections saw of a graceful shutdown."""
+
+    answer: str
+    idle_closed: bool
+    active_after: int
+
+
+def stop_entry() -> Stopped:
+    """Stop an entry's server while one call runs and one is idle."""
+
+    async def work() -> Stopped:
+        plan = FleetPlan(
+            make_bundle(), 1, {"plain": 1, "engine": 1}, service_s=2.0
+        )
+        fleet = MemoryFleet(plan)
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            server = HttpServer(fleet.entries["entry-1"].handler.handle)
+            busy, busy_far = trio.testing.memory_stream_pair()
+            idle, idle_far = trio.testing.memory_stream_pair()
+            nursery.start_soon(server.handle_connection, busy_far)
+            nursery.start_soon(server.handle_connection, idle_far)
+            await busy.send_all(make_call("GET /upstreams/plain/x", APP))
+            await trio.sleep(0.5)
+            server.stop()
+            closed = await idle.receive_some(100) == b""
+            answer = bytearray()
+            while part := await busy.receive_some(65536):
+                answer += part
+            nursery.cancel_scope.cancel()
+        return Stopped(answer.decode(), closed, server.active)
+
+    return run_virtual(work, 2, LIMIT_S)
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -29,9 +29,13 @@
     """Answer one request."""
 
     def __init__(
-        self, connection: h11.Connection, stream: trio.abc.Stream
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        is_stopping: Callable[[], bool],
     ) -> None:
         """Begin with nothing sent."""
+        self._is_stopping = is_stopping
         self._connection = connection
         self._stream = stream
         self.started = False
@@ -77,7 +81,7 @@
     def _begin(self, status: int, headers: Headers) -> None:
         """Encode the head."""
         self.started = True
-        if self.closing:
+        if self.closing or self._is_stopping():
             headers = [*headers, ("Connection", "close")]
         response = h11.Response(status_code=status, headers=headers)
         self._head = self._connection.send(response) or b""
@@ -127,7 +131,7 @@
         self, connection: h11.Connection, stream: trio.abc.Stream
     ) -> bool:
         """Serve one request; return whether the connection lives on."""
-        exchange = Exchange(connection, stream)
+        exchange = Exchange(connection, stream, lambda: self.stopping)
         try:
             request = await self._read_request(connection, stream)
         except h11.RemoteProtocolError as error:
@@ -174,7 +178,6 @@
             nursery.start_soon(
                 self._watch_caller, connection, stream, nursery.cancel_scope
             )
-            exchange.closing = self.stopping
             await self._run_guarded(request, exchange)
             nursery.cancel_scope.cancel()
 
