Relay weights between sidecars, so that the store is read once a zone

Cause: docs/CAPACITY.md showed that the rate-limited store would be read by every engine, 12,000 times a version.

Change: orders name the sidecars above an instance in a tree of its zone; a sidecar fetches when it hears an order, hands on to those below and to its engine, and swaps in its wave.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
@@ -7,6 +7,7 @@
 from pistachiospar.adapters.engine import models
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.server import Exchange
+from pistachiospar.adapters.weight_store.client import HttpWeightFetcher
 from result import Err
 import trio
 
@@ -20,6 +21,7 @@
 PATH_LOAD_REPORT = "/v1/load"
 PATH_CACHE_EVENTS = "/v1/cache/events"
 PATH_STATS = "/admin/stats"
+MAX_WEIGHT_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +73,9 @@
                 order = msgspec.json.decode(
                     request.body, type=models.LoadRequest
                 )
+                if not await _read_weights(order):
+                    await send_json(exchange, "weights not read", 502)
+                    return
                 loaded = await self.engine.load(
                     order.model, order.version, order.fence
                 )
@@ -163,6 +168,14 @@
         ]
 
 
+async def _read_weights(order: models.LoadRequest) -> bool:
+    """Read the weights from their source; return whether they fit."""
+    fetcher = HttpWeightFetcher()
+    found = await fetcher.fetch(order.source, MAX_WEIGHT_BYTES)
+    name = f"{order.model}/{order.version}".encode()
+    return name in found.unwrap_or(b"")
+
+
 def _make_event(data: bytes) -> bytes:
     """Make one server-sent event."""
     return const.EVENT_PREFIX + data + const.EVENT_END
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/fleet.py
@@ -38,6 +38,7 @@
 from .peers import FakeEntryPeer
 from .upstreams import FakeEngine
 from .upstreams import FakeService
+from .weights import FakeWeightStore
 
 Value = TypeVar("Value")
 NOWHERE = Address("127.0.0.1", 1)
@@ -128,6 +129,7 @@
         self.store = Store()
         self.kv_faults = KvFaultSet()
         self.instance_list = FakeInstanceList()
+        self.weight_store = FakeWeightStore()
         self.instances: dict[str, Instance] = {}
         self.hosts: dict[str, SidecarHost] = {}
         self.services: dict[str, FakeService] = {}
@@ -220,6 +222,8 @@
             gate=Gate(self.plan.slots, self.plan.queue_limit),
             rng=Random(self.plan.seed * 1000 + self._starts),
             now=trio.current_time(),
+            fetcher=self.weight_store.make_fetcher(self.hosts),
+            own_address=instance.data,
         )
         await self._nursery.start(_run_sidecar, host)
 
@@ -247,8 +251,8 @@
             name,
             upstream,
             zone,
-            "127.0.0.1:1",
-            "127.0.0.1:2",
+            f"{name}:1",
+            f"{name}:2",
             since_s=trio.current_time(),
         )
         if kind is UpstreamKind.ENGINE:
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -10,6 +10,7 @@
 from ...link.const import HEADER_ORDER
 from ...link.const import HEADER_REPLY
 from ...link.const import PATH_RUN
+from ...link.const import PATH_WEIGHTS
 from ...link.messages import BundlePull
 from ...link.messages import BundlePush
 from ...link.messages import ControlReply
@@ -63,6 +64,9 @@
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one request."""
+        if request.path.startswith(PATH_WEIGHTS):
+            await self._send_weights(request, exchange)
+            return
         if request.path != PATH_RUN:
             await exchange.send_whole(const.HTTP_NOT_FOUND, [], b"")
             return
@@ -74,6 +78,19 @@
         sink = HttpAnswerSink(exchange)
         await self._coordinator.run(order.ok_value, request.body, sink)
 
+    async def _send_weights(
+        self, request: HttpRequest, exchange: Exchange
+    ) -> None:
+        """Hand weights on to another sidecar, or to the engine."""
+        relay = self._coordinator.relay
+        name = request.path.removeprefix(PATH_WEIGHTS)
+        data = relay.find(name) if relay is not None else None
+        if data is None:
+            await exchange.send_whole(const.HTTP_NOT_FOUND, [], b"")
+            return
+        self._coordinator.metrics.count("weights_handed_on")
+        await exchange.send_whole(const.HTTP_OK, [], data)
+
 
 def answer_control(
     coordinator: SidecarCoordinator, request: ControlRequest, now: float
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/weight_store/__init__.py
@@ -0,0 +1,1 @@
+"""Weights over HTTP, from the store or from another sidecar."""
--- a/packages/pistachiospar/src/pistachiospar/link/const.py
+++ b/packages/pistachiospar/src/pistachiospar/link/const.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 PATH_RUN: Final = "/v1/run"
+PATH_WEIGHTS: Final = "/v1/weights/"
 HEADER_ORDER: Final = "x-order"
 HEADER_REPLY: Final = "x-reply"
 
--- a/packages/pistachiospar/src/pistachiospar/link/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/link/messages.py
@@ -82,7 +82,8 @@
 class WeightOrder(msgspec.Struct, frozen=True, array_like=True):
     """Order a version of a model; `delay_s` places it in its wave.
 
-    `fence` is the revision at which the key-value service took it.
+    `fence` is the revision at which the key-value service took it;
+    `ancestors` are the sidecars to fetch from, the nearest first.
     """
 
     model: str
@@ -90,7 +91,7 @@
     source: str
     fence: int
     delay_s: float = 0.0
-    relay: str = ""
+    ancestors: list[str] = []
 
 
 class HeldVersion(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/pistachiospar/src/pistachiospar/membership/orders.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/orders.py
@@ -13,6 +13,7 @@
 from ..link.messages import WeightOrder
 from ..live.models import AnnouncedWeights
 from ..ports.instances import Instance
+from ..relay.tree import find_ancestors
 
 WAVE_S: Final = 2.5
 
@@ -50,6 +51,9 @@
                 source=weights.source,
                 fence=weights.fence,
                 delay_s=WAVE_S * wave,
+                ancestors=find_ancestors(
+                    f"{weights.trainer}/{weights.version}", instance, members
+                ),
             )
         )
     return orders
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/relay/tree.py
@@ -0,0 +1,29 @@
+"""Support the tree over which weights travel, worked out alike everywhere.
+
+The instances of an upstream in one availability zone form a tree by
+rendezvous rank; its root reads the store.
+"""
+
+from ..helpers.rendezvous import rank
+from ..ports.instances import Instance
+from .const import FANOUT
+
+
+def find_ancestors(
+    key: str, instance: Instance, members: list[Instance]
+) -> list[str]:
+    """Return the data addresses above an instance, the nearest first."""
+    by_name = {
+        member.name: member
+        for member in members
+        if member.zone == instance.zone and not member.leaving
+    }
+    if instance.name not in by_name:
+        return []
+    ranked = rank(key, by_name)
+    position = ranked.index(instance.name)
+    found: list[str] = []
+    while position:
+        position = (position - 1) // FANOUT
+        found.append(by_name[ranked[position]].data)
+    return found
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -27,6 +27,8 @@
 from ..ports.upstream import UpstreamCall
 from ..ports.upstream import UpstreamError
 from ..ports.upstream import UpstreamNotSentError
+from ..ports.weights import WeightFetcher
+from ..relay.coordinator import WeightRelay
 from ..telemetry.metrics import Metrics
 from .gate import Gate
 from .gate import GateRefusedError
@@ -57,8 +59,10 @@
         gate: Gate,
         rng: Random,
         now: float,
+        fetcher: WeightFetcher | None = None,
+        own_address: str = "",
     ) -> None:
-        """Begin with a new incarnation."""
+        """Begin with a new incarnation; `fetcher` relays weights."""
         self.name = name
         self.upstream_name = upstream_name
         self.incarnation = token_hex(8)
@@ -70,12 +74,19 @@
         self.keeper = keeper
         self.upstream_ok = True
         self.heard_at: float | None = None
+        self.relay: WeightRelay | None = None
         self.weights: WeightsCoordinator | None = None
         self._samples: SampleRunner | None = None
         self._upstream = upstream
         self._nursery: trio.Nursery | None = None
         if engine is not None:
-            self.weights = WeightsCoordinator(engine, self.metrics, rng)
+            if fetcher is not None:
+                self.relay = WeightRelay(
+                    fetcher, own_address, self.metrics, rng
+                )
+            self.weights = WeightsCoordinator(
+                engine, self.relay, self.metrics, rng
+            )
             self._samples = SampleRunner(engine, self.weights)
 
     async def run_tasks(
@@ -89,6 +100,7 @@
             if self.weights is not None:
                 nursery.start_soon(self.weights.run_probe)
                 nursery.start_soon(self.weights.run_swaps)
+                nursery.start_soon(self.weights.run_fetches)
             task_status.started()
             await self._probe_upstream()
 
--- a/packages/pistachiospar/src/pistachiospar/sidecar/process.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/process.py
@@ -12,6 +12,7 @@
 from ..adapters.plain.client import HttpUpstream
 from ..adapters.sidecar_link.server import serve_control
 from ..adapters.sidecar_link.server import SidecarHandler
+from ..adapters.weight_store.client import HttpWeightFetcher
 from ..admin.server import AdminHandler
 from ..bundle.coordinator import BundleKeeper
 from ..process.const import DRAIN_POLL_S
@@ -49,6 +50,8 @@
             gate=Gate(settings.slots, settings.queue_limit),
             rng=Random(),
             now=now,
+            fetcher=HttpWeightFetcher(),
+            own_address=str(settings.data),
         )
         self._server = HttpServer(SidecarHandler(self.coordinator).handle)
         exporter = MetricsExporter(self.coordinator.metrics, common.name)
--- a/packages/pistachiospar/src/pistachiospar/sidecar/weights.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/weights.py
@@ -18,6 +18,7 @@
 from ..link.messages import WeightOrder
 from ..ports.upstream import Engine
 from ..ports.upstream import LoadCall
+from ..relay.coordinator import WeightRelay
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .const import PROBE_INTERVAL_S
@@ -64,9 +65,18 @@
 class WeightsCoordinator:
     """Keep the labels of one engine right and carry out swaps."""
 
-    def __init__(self, engine: Engine, metrics: Metrics, rng: Random) -> None:
-        """Begin with nothing known."""
+    def __init__(
+        self,
+        engine: Engine,
+        relay: WeightRelay | None,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Begin with nothing known; without relay engines read the source."""
         self._engine = engine
+        self._relay = relay
+        self._sources: dict[str, str] = {}
+        self._fetched: dict[str, int] = {}
         self._metrics = metrics
         self._rng = rng
         self._models: dict[str, ModelWeights] = {}
@@ -198,9 +208,38 @@
                 continue
             await self._swap(known)
 
+    async def run_fetches(self) -> None:
+        """Fetch the weights of orders before their wave; one task."""
+        while True:
+            order = self._find_unfetched()
+            if order is None or self._relay is None:
+                await self._changed.wait()
+                continue
+            source = await self._relay.obtain(order)
+            self._sources[order.model] = source
+            self._fetched[order.model] = order.version
+            self._notify()
+
+    def _find_unfetched(self) -> WeightOrder | None:
+        """Return an order whose weights were not fetched yet."""
+        for known in self._models.values():
+            if known.order is not None and not self._is_fetched(known.order):
+                return known.order
+        return None
+
+    def _is_fetched(self, order: WeightOrder) -> bool:
+        """Return whether an order's weights are at hand."""
+        if self._relay is None:
+            return True
+        return self._fetched.get(order.model, 0) >= order.version
+
     def _next_order(self) -> ModelWeights | None:
         """Return the model whose order is due first."""
-        waiting = [m for m in self._models.values() if m.order is not None]
+        waiting = [
+            known
+            for known in self._models.values()
+            if known.order is not None and self._is_fetched(known.order)
+        ]
         return min(waiting, key=lambda m: m.order_at, default=None)
 
     async def _swap(self, known: ModelWeights) -> None:
@@ -213,7 +252,8 @@
             return
         known.swapping = True
         await self._interrupt(known)
-        call = LoadCall(order.model, order.version, order.source, order.fence)
+        source = self._sources.get(order.model, order.source)
+        call = LoadCall(order.model, order.version, source, order.fence)
         loaded = await self._engine.load(call)
         found = await self._engine.read_versions()
         known.swapping = False
