Keep the bundle in the data folder; test subsets and losses

Cause: the setting data_folder did nothing, and subsets above 16 instances had no test.

Change: the envelopes that a new process needs are written when a bundle comes into force and offered, verified, at the start; a folder that is gone, cut or forged gives nothing. Subsets of 41 entries and 600 samplers in 7 zones: each sampler has 4 entries before and after the loss of an entry, an instance, a rack or a zone, and no link between survivors moves.

--- /dev/null
+++ b/features/support/membership_cases.py
@@ -0,0 +1,115 @@
+"""Support cases of subsets: who links to whom, and what moves."""
+
+from dataclasses import dataclass
+from pathlib import Path
+import tempfile
+
+from pistachiospar.bundle.coordinator import BundleKeeper
+from pistachiospar.bundle.files import load_bundle
+from pistachiospar.bundle.files import save_bundle
+from pistachiospar.bundle.models import Envelope
+from pistachiospar.bundle.rolling import make_release
+from pistachiospar.bundle.signing import sign_digest
+from pistachiospar.live.models import EntryRecord
+from pistachiospar.membership.subset import choose_subset
+from pistachiospar.ports.instances import Instance
+from pistachiospar_standins.fakes.fleet import make_keys
+from pistachiospar_standins.fakes.fleet import public_keys
+
+from .bundles import make_bundle
+from .bundles import PARTNERS
+
+ZONES = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Links:
+    """Hold all links as pairs of entry and instance."""
+
+    pairs: frozenset[tuple[str, str]]
+
+    def count_by_instance(self) -> dict[str, int]:
+        """Return how many entries each instance has."""
+        counts: dict[str, int] = {}
+        for _, instance in self.pairs:
+            counts[instance] = counts.get(instance, 0) + 1
+        return counts
+
+    def count_by_entry(self) -> dict[str, int]:
+        """Return how many links each entry has."""
+        counts: dict[str, int] = {}
+        for entry, _ in self.pairs:
+            counts[entry] = counts.get(entry, 0) + 1
+        return counts
+
+
+def make_entries(count: int) -> list[EntryRecord]:
+    """Return entries spread over the zones."""
+    return [
+        EntryRecord(f"entry-{n}", f"zone-{n % ZONES}", "r", "", "")
+        for n in range(count)
+    ]
+
+
+def make_instances(count: int) -> list[Instance]:
+    """Return samplers spread over the zones."""
+    return [
+        Instance(f"lm-{n}", "lm", f"zone-{n % ZONES}", "", "")
+        for n in range(count)
+    ]
+
+
+def link_all(entries: list[EntryRecord], instances: list[Instance]) -> Links:
+    """Return the links that all entries choose."""
+    return Links(
+        frozenset(
+            (entry.name, instance.name)
+            for entry in entries
+            for instance in choose_subset(entry, entries, instances)
+        )
+    )
+
+
+def lose(
+    what: str, entries: list[EntryRecord], instances: list[Instance]
+) -> tuple[list[EntryRecord], list[Instance]]:
+    """Return what is left after a loss."""
+    match what:
+        case "an entry":
+            return entries[1:], instances
+        case "an instance":
+            return entries, instances[1:]
+        case "a rack of 5 entries and 60 instances":
+            return entries[5:], instances[60:]
+        case "an availability zone":
+            return (
+                [e for e in entries if e.zone != "zone-0"],
+                [i for i in instances if i.zone != "zone-0"],
+            )
+    return entries, instances
+
+
+def keep_bundle(damage: str) -> int:
+    """Save a bundle, damage the folder, load it; return the version."""
+    keys = make_keys(PARTNERS)
+    release = make_release(make_bundle(), None)
+    digest = release.digest()
+    signatures = [sign_digest(digest, p, key) for p, key in keys.items()]
+    keeper = BundleKeeper(public_keys(PARTNERS))
+    keeper.offer(Envelope(release, signatures), 0.0)
+    with tempfile.TemporaryDirectory() as folder:
+        save_bundle(folder, keeper)
+        file = Path(folder) / "bundle.json"
+        match damage:
+            case "nothing":
+                pass
+            case "a file cut short":
+                file.write_bytes(file.read_bytes()[:40])
+            case "a forged share":
+                text = file.read_text()
+                file.write_text(text.replace('"share":0.6', '"share":0.9'))
+            case "no file":
+                file.unlink()
+        fresh = BundleKeeper(public_keys(PARTNERS))
+        load_bundle(folder, fresh, 0.0)
+    return fresh.version
--- a/packages/pistachiospar/src/pistachiospar/bundle/const.py
+++ b/packages/pistachiospar/src/pistachiospar/bundle/const.py
@@ -10,6 +10,8 @@
 PREFIX_EPOCHS: Final = PREFIX + "epochs/"
 PREFIX_HISTORY: Final = PREFIX + "history/"
 
+BUNDLE_FILE: Final = "bundle.json"
+
 SHARE_SUM: Final = 1.0
 SHARE_TOLERANCE: Final = 1e-6
 PUBLIC_KEY_BYTES: Final = 32
--- a/packages/pistachiospar/src/pistachiospar/entry/process.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/process.py
@@ -16,6 +16,8 @@
 from ..adapters.sidecar_link.client import NetworkSidecarLink
 from ..admin.server import AdminHandler
 from ..bundle.const import FRESH_KNOWLEDGE_S
+from ..bundle.files import load_bundle
+from ..bundle.files import save_bundle
 from . import const
 from ..ports.instances import Instance
 from ..process.const import DRAIN_POLL_S
@@ -55,6 +57,10 @@
                 parts.rng,
             ).handle
         )
+        folder = settings.process.data_folder
+        load_bundle(folder, parts.keeper, now)
+        parts.live.subscribe(lambda: self._save_bundle(folder))
+        self._saved_version = parts.keeper.version
         self._draining = False
         self._dump = EntryDump(
             settings.process.name,
@@ -105,6 +111,13 @@
         await trio.sleep(STOP_GRACE_S)
         log_event("stopped", cut=self._server.active)
 
+    def _save_bundle(self, folder: str) -> None:
+        """Keep a bundle that came into force."""
+        keeper = self.coordinator.keeper
+        if keeper.version > self._saved_version:
+            self._saved_version = keeper.version
+            save_bundle(folder, keeper)
+
     def _is_ready(self) -> bool:
         """Return whether new work is welcome."""
         return self.coordinator.is_ready() and not self._draining
--- a/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/coordinator.py
@@ -1,5 +1,6 @@
 """Support running orders at one upstream: the only door to it."""
 
+from collections.abc import Callable
 from random import Random
 from secrets import token_hex
 
@@ -74,6 +75,7 @@
         self.keeper = keeper
         self.upstream_ok = True
         self.heard_at: float | None = None
+        self.on_bundle: Callable[[], None] | None = None
         self.relay: WeightRelay | None = None
         self.weights: WeightsCoordinator | None = None
         self._samples: SampleRunner | None = None
@@ -154,9 +156,13 @@
 
     def push_bundle(self, push: BundlePush, now: float) -> Status:
         """Take a newer bundle, once its signatures are checked."""
+        before = self.keeper.version
         for envelope in push.envelopes:
             self.keeper.offer(envelope, now)
-        self.apply_bundle()
+        if self.keeper.version > before:
+            self.apply_bundle()
+            if self.on_bundle is not None:
+                self.on_bundle()
         return self.make_status(now)
 
     def reclaim(self, order: ReclaimOrder, now: float) -> Status:
--- a/packages/pistachiospar/src/pistachiospar/sidecar/process.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/process.py
@@ -15,6 +15,8 @@
 from ..adapters.weight_store.client import HttpWeightFetcher
 from ..admin.server import AdminHandler
 from ..bundle.coordinator import BundleKeeper
+from ..bundle.files import load_bundle
+from ..bundle.files import save_bundle
 from ..process.const import DRAIN_POLL_S
 from ..process.const import GC_THRESHOLD
 from ..process.const import STOP_GRACE_S
@@ -53,6 +55,11 @@
             fetcher=HttpWeightFetcher(),
             own_address=str(settings.data),
         )
+        load_bundle(common.data_folder, keeper, now)
+        self.coordinator.apply_bundle()
+        self.coordinator.on_bundle = lambda: save_bundle(
+            common.data_folder, keeper
+        )
         self._server = HttpServer(SidecarHandler(self.coordinator).handle)
         exporter = MetricsExporter(self.coordinator.metrics, common.name)
         self._admin = HttpServer(
