Measure the instance list and the control bytes at the idle pace

Cause: docs/CAPACITY.md gave an estimate for the instance list, and the bench still counted control bytes at the old pace of 24 heartbeats a second. The stand-in engine took priorities and ignored them.

Change: both figures are measured; the engine may limit its running calls and then serves lower priority numbers first.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+import tracemalloc
 import urllib.request
 
 import msgspec
@@ -18,6 +19,9 @@
 from pistachiospar.link.messages import Heartbeat
 from pistachiospar.link.messages import HeldVersion
 from pistachiospar.link.messages import Status
+from pistachiospar.membership.const import BEATS_PER_S
+from pistachiospar.membership.const import QUIET_BEATS
+from pistachiospar.ports.instances import Instance
 from pistachiospar.sidecar.models import Segment
 from pistachiospar.trainers.cursor import encode_cursor
 from pistachiospar.trainers.cursor import TakenSet
@@ -50,6 +54,7 @@
 FULL_ENTRIES = 410
 FRAME_BYTES = 2 * (52 + 20)
 SAMPLES = 8_192
+SAMPLERS = 12_000
 
 
 def write_settings(folder: Path, name: str, values: dict[str, object]) -> Path:
@@ -230,14 +235,47 @@
     both = len(beat) + len(status) + FRAME_BYTES
     table.add("link: heartbeat", len(beat), "bytes")
     table.add("link: status, 3 models", len(status), "bytes")
-    rate = min(24.0, FULL_LINKS)
-    table.add("entry: control, full size", both * rate, "bytes/s")
     table.add(
-        "sidecar: control, 4 entries a 5 s",
-        both * 4 / 4.9,
+        "entry: control, full size, idle",
+        both * BEATS_PER_S,
         "bytes/s",
         at_most=LIMIT_BYTES_S,
     )
+    table.add(
+        "entry: control, full size, quiet attempts everywhere",
+        both * (BEATS_PER_S + QUIET_BEATS),
+        "bytes/s",
+    )
+    table.add(
+        "sidecar: control, 4 entries",
+        both * 4 * BEATS_PER_S / FULL_LINKS,
+        "bytes/s",
+        at_most=LIMIT_BYTES_S,
+    )
+    measure_list(table)
+
+
+def measure_list(table: Table) -> None:
+    """Measure the memory of the instance list as an entry holds it."""
+    instances = [
+        Instance(
+            f"lm-pool-{n}",
+            "lm-pool",
+            f"zone-{n % 7}",
+            f"10.0.{n % 256}.{n // 256}:9000",
+            f"10.0.{n % 256}.{n // 256}:9001",
+        )
+        for n in range(SAMPLERS)
+    ]
+    data = msgspec.json.encode(instances)
+    del instances
+    tracemalloc.start()
+    found = msgspec.json.decode(data, type=list[Instance])
+    held = {instance.name: instance for instance in found}
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    table.add("entry: instance list", size / len(held), "bytes/instance")
+    table.add("entry: instance list, 12,000", size / 1e6, "MB")
 
 
 def measure_steps(table: Table) -> None:
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/core.py
@@ -4,6 +4,7 @@
 can compare the labels with what the engine truly did.
 """
 
+import bisect
 from collections.abc import AsyncGenerator
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -35,10 +36,12 @@
     """Hold the settings; times are in seconds.
 
     `batch_slowdown` is the share by which each further running call
-    stretches a token; a `tail_share` of the calls runs slower by
+    stretches a token; beyond `max_running` calls (0 for no limit) a lower
+    priority number goes first; a `tail_share` of the calls runs slower by
     `tail_factor`, drawn from `seed`.
     """
 
+    max_running: int = 0
     token_s: float = 0.002
     prefill_s: float = 0.01
     swap_s: float = 0.2
@@ -67,6 +70,15 @@
     tokens: int
 
 
+@dataclass(slots=True, order=True)
+class WaitingCall:
+    """Hold a call that waits for its turn."""
+
+    priority: int
+    number: int
+    turn: trio.Event = field(default_factory=trio.Event, compare=False)
+
+
 @dataclass(slots=True)
 class EngineModel:
     """Hold an engine's state."""
@@ -79,6 +91,8 @@
     cache_hits: int = 0
     cache_misses: int = 0
     running: int = 0
+    calls: int = 0
+    waiting: list[WaitingCall] = field(default_factory=list)
     tokens_made: int = 0
     swapping: trio.Event | None = None
     swaps: int = 0
@@ -91,7 +105,12 @@
         self.rng = Random(self.settings.seed)
 
     async def generate(
-        self, model: str, prompt: str, max_tokens: int, done: int = 0
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        done: int = 0,
+        priority: int = 0,
     ) -> AsyncGenerator[TokenRun, None]:
         """Generate tokens from number `done` on.
 
@@ -104,6 +123,7 @@
         slow = self.rng.random() < self.settings.tail_share
         tail = self.settings.tail_factor if slow else 1.0
         life = self.life
+        await self._wait_turn(priority)
         self.running += 1
         try:
             await self._prefill(prompt)
@@ -124,6 +144,25 @@
                     raise EngineCrashedError("stream cut")
         finally:
             self.running -= 1
+            if self.waiting:
+                self.waiting[0].turn.set()
+
+    async def _wait_turn(self, priority: int) -> None:
+        """Wait until a place is free; lower numbers go first."""
+        limit = self.settings.max_running
+        place = WaitingCall(priority, self.calls)
+        self.calls += 1
+        bisect.insort(self.waiting, place)
+        try:
+            while limit and (
+                self.running >= limit or self.waiting[0] is not place
+            ):
+                place.turn = trio.Event()
+                await place.turn.wait()
+        finally:
+            self.waiting.remove(place)
+            if self.waiting:
+                self.waiting[0].turn.set()
 
     async def load(
         self, model: str, version: int, fence: int
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
@@ -111,7 +111,11 @@
         text: list[str] = []
         tokens = 0
         runs = self.engine.generate(
-            asked.model, asked.prompt, asked.max_tokens, asked.resume_tokens
+            asked.model,
+            asked.prompt,
+            asked.max_tokens,
+            asked.resume_tokens,
+            asked.priority,
         )
         async for run in runs:
             text.append(run.text)
