Send the head of an answer with the first part of its body

Cause: profile of the entry under load: h11 and the run loop make up most; the sidecar's reply came in three segments, each of which woke the entry.

Change: the sidecar holds the head until the first part of the body. Chunks are not held: progress counts what was sent, and a held one would look lost.

--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -48,28 +48,29 @@
         """Send a whole answer in one segment."""
         length = ("Content-Length", str(len(body)))
         self._begin(status, [*headers, length])
-        head = self._head
-        self._head = b""
         data = self._connection.send(h11.Data(data=body)) or b""
         end = self._connection.send(h11.EndOfMessage()) or b""
-        await self._stream.send_all(head + data + end)
+        await self._stream.send_all(self._take_head() + data + end)
 
     async def start(self, status: int, headers: Headers) -> None:
         """Start an answer whose length is not known."""
+        self.hold(status, headers)
+        await self._stream.send_all(self._take_head())
+
+    def hold(self, status: int, headers: Headers) -> None:
+        """Start an answer; the head goes with the first part of the body."""
         self._begin(status, headers)
-        head = self._head
-        self._head = b""
-        await self._stream.send_all(head)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body."""
         data = self._connection.send(h11.Data(data=chunk)) or b""
-        await self._stream.send_all(data)
+        await self._stream.send_all(self._take_head() + data)
 
     async def finish(self, trailers: Headers | None = None) -> None:
         """End the body; without this call the answer never looks whole."""
         end = h11.EndOfMessage(headers=trailers or [])
-        await self._stream.send_all(self._connection.send(end) or b"")
+        data = self._connection.send(end) or b""
+        await self._stream.send_all(self._take_head() + data)
 
     async def send_problem(
         self, problem: Problem, headers: Headers | None = None
@@ -78,6 +79,11 @@
         all_headers = [*problem.headers(), *(headers or [])]
         await self.send_whole(problem.status, all_headers, problem.body())
 
+    def _take_head(self) -> bytes:
+        """Return the head that is not sent yet."""
+        head, self._head = self._head, b""
+        return head
+
     def _begin(self, status: int, headers: Headers) -> None:
         """Encode the head."""
         self.started = True
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -41,7 +41,7 @@
             (HEADER_REPLY, encode_header(reply)),
             ("Transfer-Encoding", "chunked"),
         ]
-        await self._exchange.start(const.HTTP_OK, headers)
+        self._exchange.hold(const.HTTP_OK, headers)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body."""
