--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,7 +36,7 @@
 from .farm import HOST
 from .models import Table
 from .processes import BIN
-from .processes import fit_line
+from .processes import fit_series
 from .processes import measure_cpu_share
 from .processes import read_resident_mb
 from .processes import run_process
@@ -165,14 +165,23 @@
         for number, links in enumerate(LINKS)
     ]
     sizes = [float(links) for links in LINKS]
-    memory = fit_line(sizes, [row[0] for row in rows])
+    memory = fit_series(
+        table, "entry memory", "links", "MB", sizes, [r[0] for r in rows]
+    )
     table.add("entry: memory, base", memory.base, "MB")
     table.add("entry: memory, slope", memory.slope, "MB/link")
     table.add("entry: memory, residual", memory.residual, "MB")
     table.add("entry: memory, 16 links", rows[2][0], "MB", at_most=LIMIT_MB)
     table.add("entry: memory, full size", memory.at(FULL_LINKS), "MB")
     beats = [row[2] for row in rows]
-    share = fit_line(beats, [row[1] for row in rows])
+    share = fit_series(
+        table,
+        "entry processor",
+        "heartbeats/s",
+        "of a core",
+        beats,
+        [row[1] for row in rows],
+    )
     table.add("entry: processor, base", share.base, "of a core")
     table.add("entry: processor, slope", share.slope * 1e3, "ms/heartbeat")
     table.add("entry: processor, residual", share.residual, "of a core")
@@ -193,8 +202,17 @@
         for number, beaters in enumerate(BEATERS)
     ]
     sizes = [float(beaters) for beaters in BEATERS]
-    memory = fit_line(sizes, [row[0] for row in rows])
-    share = fit_line(sizes, [row[1] for row in rows])
+    memory = fit_series(
+        table, "sidecar memory", "entries", "MB", sizes, [r[0] for r in rows]
+    )
+    share = fit_series(
+        table,
+        "sidecar processor",
+        "heartbeats/s",
+        "of a core",
+        sizes,
+        [row[1] for row in rows],
+    )
     table.add("sidecar: memory, base", memory.base, "MB")
     table.add("sidecar: memory, slope", memory.slope, "MB/entry")
     table.add("sidecar: memory, residual", memory.residual, "MB")
--- a/bench/models.py
+++ b/bench/models.py
@@ -38,12 +38,26 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Series:
+    """Hold measured points and the line fitted to them."""
+
+    name: str
+    size_name: str
+    unit: str
+    sizes: list[float]
+    values: list[float]
+    slope: float
+    base: float
+
+
 @dataclass(slots=True)
 class Table:
     """Hold the figures of one benchmark."""
 
     title: str
     figures: list[Figure] = field(default_factory=list)
+    series: list[Series] = field(default_factory=list)
 
     def add(
         self,
@@ -68,3 +82,7 @@
         data = [asdict(figure) for figure in self.figures]
         path = RESULTS / f"{self.title}.json"
         path.write_text(json.dumps(data, indent=1) + "\n")
+        if self.series:
+            points = [asdict(series) for series in self.series]
+            path = RESULTS / f"{self.title}.points.json"
+            path.write_text(json.dumps(points, indent=1) + "\n")
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -12,6 +12,9 @@
 import time
 import urllib.request
 
+from .models import Series
+from .models import Table
+
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 BIN = Path(sys.executable).parent
 START_S = 30.0
@@ -30,6 +33,22 @@
         return self.base + self.slope * size
 
 
+def fit_series(
+    table: Table,
+    name: str,
+    size_name: str,
+    unit: str,
+    sizes: list[float],
+    values: list[float],
+) -> Line:
+    """Fit a line, and keep the points for the plot."""
+    line = fit_line(sizes, values)
+    table.series.append(
+        Series(name, size_name, unit, sizes, values, line.slope, line.base)
+    )
+    return line
+
+
 def fit_line(sizes: list[float], values: list[float]) -> Line:
     """Fit a line by least squares."""
     slope, base = linear_regression(sizes, values)
--- a/bench/service.py
+++ b/bench/service.py
@@ -16,6 +16,7 @@
 from . import fleets
 from .models import Table
 from .processes import fit_line
+from .processes import fit_series
 
 ENTRIES = (2, 4, 8, 16)
 SAMPLERS = (4, 8, 16)
@@ -140,7 +141,14 @@
     for changes in (0.0, *CHANGES_PER_S):
         calls = [count_calls(entries, changes) for entries in ENTRIES]
         label = f"key-value service, {changes:g} changes/s: "
-        reads = fit_line(sizes, [c["read"] + c["watch"] for c in calls])
+        reads = fit_series(
+            table,
+            label + "reads",
+            "entries",
+            "/s",
+            sizes,
+            [c["read"] + c["watch"] for c in calls],
+        )
         writes = fit_line(sizes, [c["write"] for c in calls])
         table.add(label + "reads, slope", reads.slope, "/s an entry")
         table.add(label + "reads, residual", reads.residual, "/s")
