--- /dev/null
+++ b/features/support/gone_instances.py
@@ -0,0 +1,41 @@
+"""Support a keyed retry after its instance left the list."""
+
+from pistachiospar_standins.fakes.fleet import FleetPlan
+from pistachiospar_standins.fakes.fleet import MemoryFleet
+from pistachiospar_standins.fakes.fleet import run_virtual
+import trio
+
+from .bundles import make_bundle
+from .calls import call_entry
+from .calls import count_runs
+from .calls import KINDS
+from .calls import make_request
+
+LIMIT_S = 300.0
+
+
+def retry_after_loss(restart_entry: bool) -> int:
+    """Record, lose the instance, retry by another entry; return the runs."""
+
+    async def work() -> int:
+        plan = FleetPlan(make_bundle(), 2, {"plain": 3, "engine": 1})
+        fleet = MemoryFleet(plan)
+        request = make_request(KINDS["keyed record"], "body-1", 4000)
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await call_entry(fleet, "entry-1", request)
+            owner = next(n for n, s in fleet.services.items() if s.runs)
+            fleet.kill_sidecar(owner)
+            del fleet.instances[owner]
+            fleet.publish()
+            await trio.sleep(3.0)
+            if restart_entry:
+                fleet.kill_entry("entry-2")
+                fleet.start_entry("entry-2")
+                await trio.sleep(3.0)
+            await call_entry(fleet, "entry-2", request)
+            runs = count_runs(fleet)["body-1"]
+            nursery.cancel_scope.cancel()
+        return runs
+
+    return run_virtual(work, 7, LIMIT_S)
