--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -6,11 +6,13 @@
 from dataclasses import dataclass
 
 from pistachiospar.adapters.etcd.models import end_of_prefix
+from pistachiospar.ports.kv import KvCheck
 from pistachiospar.ports.kv import KvError
 from pistachiospar.ports.kv import KvEvent
 from pistachiospar.ports.kv import KvFault
 from pistachiospar.ports.kv import KvItem
 from pistachiospar.ports.kv import KvPut
+from pistachiospar.ports.kv import KvTransaction
 from pistachiospar.ports.kv import KvWrite
 from result import Err
 from result import Ok
@@ -91,18 +93,24 @@
         also: Sequence[KvPut] = (),
     ) -> Result[KvWrite, KvError]:
         """Write if the key's revision is as expected; 0 means absent."""
+        puts = (KvPut(key, value, lease), *also)
+        return await self.commit(
+            KvTransaction((KvCheck(key, expected),), puts)
+        )
+
+    async def commit(
+        self, transaction: KvTransaction
+    ) -> Result[KvWrite, KvError]:
+        """Carry out a transaction if all its checks hold."""
         fault = await self._enter("write")
         if fault is not None:
             return Err(fault)
-        won = self._store.find_revision(key) == expected
-        now = trio.current_time()
-        if won:
-            self._store.write(key, value, lease, now)
-            for put in also:
-                self._store.write(put.key, put.value, 0, now)
+        won = self._store.transact(transaction, trio.current_time())
         lost = await self._lose_reply()
         if lost is not None:
             return Err(lost)
+        if won is None:
+            return Err(KvError(KvFault.NO_LEASE, "the lease is gone"))
         return Ok(KvWrite(won, self._store.revision))
 
     async def put_item(
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
@@ -7,6 +7,9 @@
 from pistachiospar.adapters.etcd import models
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.server import Exchange
+from pistachiospar.ports.kv import KvCheck
+from pistachiospar.ports.kv import KvPut
+from pistachiospar.ports.kv import KvTransaction
 import trio
 
 from ..serving.models import send_json
@@ -140,16 +143,28 @@
 
     def _transact(
         self, asked: models.TransactionRequest
-    ) -> models.TransactionResponse:
+    ) -> models.TransactionResponse | None:
         """Do a transaction if its comparisons hold."""
-        holds = all(
-            self.store.find_revision(models.decode_bytes(c.key).decode())
-            == int(c.mod_revision)
-            for c in asked.compare
+        puts = [op.request_put for op in asked.success if op.request_put]
+        gone = [op.request_delete_range for op in asked.success]
+        transaction = KvTransaction(
+            tuple(
+                KvCheck(_read_key(c.key), int(c.mod_revision))
+                for c in asked.compare
+            ),
+            tuple(
+                KvPut(
+                    _read_key(put.key),
+                    models.decode_bytes(put.value),
+                    int(put.lease),
+                )
+                for put in puts
+            ),
+            tuple(_read_key(delete.key) for delete in gone if delete),
         )
-        if holds:
-            for operation in asked.success:
-                self._put(operation.request_put)
+        holds = self.store.transact(transaction, trio.current_time())
+        if holds is None:
+            return None
         return models.TransactionResponse(self._header(), holds)
 
     async def _watch(self, body: bytes, exchange: Exchange) -> None:
@@ -192,6 +207,11 @@
         await exchange.write(data + b"\n")
 
 
+def _read_key(text: str) -> str:
+    """Decode a key."""
+    return models.decode_bytes(text).decode()
+
+
 def _make_message(item: StoredItem, keys_only: bool) -> models.KeyValueMessage:
     """Make the message of one key."""
     return models.KeyValueMessage(
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/kv/store.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/store.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from pistachiospar.ports.kv import KvTransaction
 import trio
 
 MAX_EVENTS: Final = 50_000
@@ -64,6 +65,20 @@
         self._note(StoredEvent(key, value, self.revision))
         return True
 
+    def transact(self, asked: KvTransaction, now: float) -> bool | None:
+        """Do a transaction; False when a check fails, None for no lease."""
+        self.expire(now)
+        for check in asked.checks:
+            if self.find_revision(check.key) != check.revision:
+                return False
+        if any(p.lease and p.lease not in self.leases for p in asked.puts):
+            return None
+        for put in asked.puts:
+            self.write(put.key, put.value, put.lease, now)
+        for key in asked.removals:
+            self.delete(key)
+        return True
+
     def delete(self, key: str) -> None:
         """Delete a key."""
         if key in self.items:
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -10,11 +10,13 @@
 from result import Result
 import trio
 
+from ...ports.kv import KvCheck
 from ...ports.kv import KvError
 from ...ports.kv import KvEvent
 from ...ports.kv import KvFault
 from ...ports.kv import KvItem
 from ...ports.kv import KvPut
+from ...ports.kv import KvTransaction
 from ...ports.kv import KvWrite
 from . import const
 from ..http.client import Address
@@ -73,11 +75,36 @@
         also: Sequence[KvPut] = (),
     ) -> Result[KvWrite, KvError]:
         """Write if the key's revision is as expected; 0 means absent."""
-        first = _make_put(key, value, lease)
-        others = [_make_put(put.key, put.value, 0) for put in also]
+        puts = (KvPut(key, value, lease), *also)
+        return await self.commit(
+            KvTransaction((KvCheck(key, expected),), puts)
+        )
+
+    async def commit(
+        self, transaction: KvTransaction
+    ) -> Result[KvWrite, KvError]:
+        """Carry out a transaction if all its checks hold."""
+        operations = [
+            models.RequestOperation(_make_put(put.key, put.value, put.lease))
+            for put in transaction.puts
+        ]
+        operations += [
+            models.RequestOperation(
+                request_delete_range=models.DeleteRange(
+                    models.encode_bytes(key.encode())
+                )
+            )
+            for key in transaction.removals
+        ]
         request = models.TransactionRequest(
-            [models.Compare(first.key, str(expected))],
-            [models.RequestOperation(put) for put in [first, *others]],
+            [
+                models.Compare(
+                    models.encode_bytes(check.key.encode()),
+                    str(check.revision),
+                )
+                for check in transaction.checks
+            ],
+            operations,
         )
         answer = await self._call(
             const.PATH_TXN, request, models.TransactionResponse
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/models.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/models.py
@@ -65,10 +65,17 @@
     result: str = "EQUAL"
 
 
-class RequestOperation(msgspec.Struct):
+class DeleteRange(msgspec.Struct):
+    """Delete one key."""
+
+    key: str
+
+
+class RequestOperation(msgspec.Struct, omit_defaults=True):
     """Hold one operation of a transaction."""
 
-    request_put: PutRequest
+    request_put: PutRequest | None = None
+    request_delete_range: DeleteRange | None = None
 
 
 class TransactionRequest(msgspec.Struct):
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between gateways: results of the submissions held elsewhere."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -3,14 +3,18 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+import re
+import socket
 
 import h11
 import trio
 
 from .const import CONNECT_TIMEOUT_S
+from .const import KEEP_ALIVE_MARGIN_S
 from .const import POOL_IDLE_S
 from .const import POOL_MAX_IDLE
 from .const import RECEIVE_BYTES
+from .const import UNACKED_TIMEOUT_MS
 from .errors import ConnectError
 from .errors import LostError
 from .models import Headers
@@ -29,6 +33,9 @@
         return f"{self.host}:{self.port}"
 
 
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
+
+
 def parse_address(text: str) -> Address:
     """Parse `host:port`; raises ValueError."""
     host, _, port = text.rpartition(":")
@@ -43,10 +50,11 @@
     ) -> None:
         """Take the head."""
         self.status = head.status_code
-        self.headers = {
-            name.decode("ascii"): value.decode("latin-1")
+        self.raw_headers = [
+            (name.decode("ascii"), value.decode("latin-1"))
             for name, value in head.headers
-        }
+        ]
+        self.headers = dict(self.raw_headers)
         self.trailers: dict[str, str] = {}
         self._connection = connection
 
@@ -79,6 +87,8 @@
         self._stream = stream
         self._h11 = h11.Connection(h11.CLIENT)
         self.idle_since = now
+        self.idle_limit_s = POOL_IDLE_S
+        self.poisoned = False
 
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -95,7 +105,9 @@
         while True:
             event = await self.next_event()
             if isinstance(event, h11.Response):
-                return HttpStreamAnswer(event, self)
+                answer = HttpStreamAnswer(event, self)
+                self._learn_idle_limit(answer.headers)
+                return answer
             if not isinstance(event, h11.InformationalResponse):
                 raise LostError("connection closed before the answer")
 
@@ -119,26 +131,69 @@
 
     def recycle(self, now: float) -> bool:
         """Make ready for the next request; return whether that works."""
-        if self._h11.our_state is not h11.DONE:
+        if self.poisoned or self._h11.our_state is not h11.DONE:
             return False
         if self._h11.their_state is not h11.DONE:
             return False
+        if self._h11.trailing_data[0]:
+            return False
         self._h11.start_next_cycle()
         self.idle_since = now
         return True
 
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the idle connection may take a request.
+
+        One that the other side closed, or on which bytes arrived that
+        belong to no request, must not.
+        """
+        if now - self.idle_since >= self.idle_limit_s:
+            return False
+        if not isinstance(self._stream, trio.SocketStream):
+            return True
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        try:
+            # trio's own recv would wait; the plain socket's does not.
+            _raw_socket(self._stream).recv(1, flags)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
     def close(self) -> None:
         """Close at once."""
         if isinstance(self._stream, trio.SocketStream):
             self._stream.socket.close()
 
+    def _learn_idle_limit(self, headers: dict[str, str]) -> None:
+        """Take the time for which the other side keeps it open."""
+        found = _KEEP_ALIVE_TIMEOUT.search(headers.get("keep-alive", ""))
+        if found is not None:
+            limit_s = float(found[1]) - KEEP_ALIVE_MARGIN_S
+            self.idle_limit_s = min(POOL_IDLE_S, limit_s)
+
+
+def _raw_socket(stream: trio.SocketStream) -> socket.socket:
+    """Return a view of the socket below a stream."""
+    raw: socket.socket = stream.socket._sock  # type: ignore[attr-defined]
+    return raw
+
 
 class HttpPool:
     """Hold the connections to one address."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        most_idle: int = POOL_MAX_IDLE,
+    ) -> None:
         """Begin with no connection."""
         self.address = address
+        self.connects = 0
+        self._connect_timeout_s = connect_timeout_s
+        self._most_idle = most_idle
         self._idle: list[HttpConnection] = []
 
     @asynccontextmanager
@@ -152,17 +207,19 @@
     ) -> AsyncIterator[HttpStreamAnswer]:
         """Send a request; the body of the answer may be read inside.
 
-        `fresh` asks for a new connection. Raises ConnectError when nothing
-        was sent and LostError when the connection ended too soon.
+        `fresh` asks for a new connection. A Host among `headers` stands for
+        the address. Raises ConnectError when nothing was sent and LostError
+        when the connection ended too soon.
         """
         connection = None if fresh else self._take_idle(trio.current_time())
         if connection is None:
             connection = await self._connect()
-        all_headers: Headers = [
-            ("Host", str(self.address)),
+        all_headers = [
             ("Content-Length", str(len(body))),
             *(headers or []),
         ]
+        if not any(name.lower() == "host" for name, _ in all_headers):
+            all_headers.insert(0, ("Host", str(self.address)))
         done = False
         try:
             yield await connection.send(method, target, all_headers, body)
@@ -208,14 +265,14 @@
         """Return the connection used last, if one is still young."""
         while self._idle:
             connection = self._idle.pop()
-            if now - connection.idle_since < POOL_IDLE_S:
+            if connection.is_fresh(now):
                 return connection
             connection.close()
         return None
 
     def _put_idle(self, connection: HttpConnection) -> None:
         """Keep a connection for the next request."""
-        if len(self._idle) < POOL_MAX_IDLE:
+        if len(self._idle) < self._most_idle:
             self._idle.append(connection)
         else:
             connection.close()
@@ -223,10 +280,14 @@
     async def _connect(self) -> HttpConnection:
         """Open a connection; raises ConnectError."""
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self._connect_timeout_s):
                 stream = await trio.open_tcp_stream(
                     self.address.host, self.address.port
                 )
         except (OSError, trio.TooSlowError) as error:
-            raise ConnectError(f"{self.address}: {error}") from error
+            raise ConnectError(f"{self.address}: {error!r}") from error
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
+        )
+        self.connects += 1
         return HttpConnection(stream, trio.current_time())
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/models.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/models.py
@@ -10,13 +10,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """Hold a whole request; header names are lower case."""
+    """Hold a whole request; header names are lower case.
+
+    `raw_headers` has each header as it came, repeated ones too; `target` is
+    path and query as they came.
+    """
 
     method: str
     path: str
     query: str
     headers: dict[str, str]
     body: bytes = b""
+    raw_headers: Headers = field(default_factory=list)
+    target: str = ""
 
     def parameters(self) -> dict[str, str]:
         """Return the parameters of the query."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 from dataclasses import replace
 import traceback
 from typing import Final
@@ -96,15 +97,25 @@
 Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
 
 
+@dataclass(slots=True)
+class ServerLimits:
+    """Bound what a caller may send and how long it may take, in seconds."""
+
+    max_head_bytes: int = MAX_HEAD_BYTES
+    max_body_bytes: int = MAX_BODY_BYTES
+    read_timeout_s: float = READ_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 class HttpServer:
     """Serve HTTP/1.1 connections until told to stop."""
 
     def __init__(
-        self, handler: Handler, max_body_bytes: int = MAX_BODY_BYTES
+        self, handler: Handler, limits: ServerLimits | None = None
     ) -> None:
-        """Begin with no connection."""
+        """Begin with no connection; the limits may change meanwhile."""
         self._handler = handler
-        self._max_body_bytes = max_body_bytes
+        self.limits = limits or ServerLimits()
         self._idle: set[trio.CancelScope] = set()
         self.stopping = False
         self.active = 0
@@ -118,7 +129,8 @@
     async def handle_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends."""
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER,
+            max_incomplete_event_size=self.limits.max_head_bytes,
         )
         try:
             while await self._serve_one(connection, stream):
@@ -244,8 +256,8 @@
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > self._max_body_bytes:
-                    detail = f"over {self._max_body_bytes} bytes"
+                if len(body) > self.limits.max_body_bytes:
+                    detail = f"over {self.limits.max_body_bytes} bytes"
                     return refuse_input("oversized-body", detail, 413)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return _make_request(head, bytes(body))
@@ -259,7 +271,8 @@
         idle: bool,
     ) -> bool:
         """Receive bytes; return whether to go on."""
-        timeout = IDLE_TIMEOUT_S if idle else READ_TIMEOUT_S
+        limits = self.limits
+        timeout = limits.idle_timeout_s if idle else limits.read_timeout_s
         with trio.move_on_after(timeout) as scope:
             if idle:
                 self._idle.add(scope)
@@ -278,8 +291,10 @@
     """Make the request from its parts."""
     target = head.target.decode("ascii", "replace")
     path, _, query = target.partition("?")
-    headers = {
-        name.decode("ascii"): value.decode("latin-1")
-        for name, value in head.headers
-    }
-    return HttpRequest(head.method.decode("ascii"), path, query, headers, body)
+    raw = [
+        (name.decode("ascii"), value.decode("latin-1"))
+        for name, value in head.headers.raw_items()
+    ]
+    headers = {name.lower(): value for name, value in raw}
+    method = head.method.decode("ascii")
+    return HttpRequest(method, path, query, headers, body, raw, target)
--- a/packages/pistachiospar/src/pistachiospar/cli.py
+++ b/packages/pistachiospar/src/pistachiospar/cli.py
@@ -4,22 +4,23 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import sys
+from typing import TYPE_CHECKING
 from typing import TypeVar
 
 from result import Err
 from result import Result
-import trio
 
 from . import __version__
 from .const import EXIT_BAD_INPUT
 from .const import EXIT_FAILED
 from .const import EXIT_OK
-from .helpers.findings import Findings
-from .settings.config import read_entry
-from .settings.config import read_sidecar
-from .settings.models import EntrySettings
-from .settings.models import SidecarSettings
-from .telemetry.logs import open_log
+
+# A role imports its own parts only: memory and start time are billed.
+if TYPE_CHECKING:
+    from .helpers.findings import Findings
+    from .platform.settings import GatewaySettings
+    from .settings.models import EntrySettings
+    from .settings.models import SidecarSettings
 
 Settings = TypeVar("Settings")
 
@@ -57,19 +58,52 @@
             action="store_true",
             help="validate the settings and exit",
         )
+    text = "serve callers and trainers on the users' platform"
+    gateway = roles.add_parser("gateway", help=text, description=text)
+    gateway.add_argument(
+        "--settings",
+        metavar="FILE",
+        help="the platform's settings (default: where the platform says)",
+    )
+    gateway.add_argument(
+        "--check",
+        action="store_true",
+        help="validate the settings and exit",
+    )
+    text = "occupy an instance and keep nothing there"
+    roles.add_parser("standby", help=text, description=text)
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run the command line; return the exit status."""
     options = make_parser().parse_args(arguments)
-    if options.role == "entry":
-        return _run(read_entry(options.settings), options.check, _run_entry)
-    return _run(read_sidecar(options.settings), options.check, _run_sidecar)
+    match options.role:
+        case "entry":
+            from .settings.config import read_entry
+
+            entry = read_entry(options.settings)
+            return _run(entry, options.check, _run_entry)
+        case "sidecar":
+            from .settings.config import read_sidecar
+
+            sidecar = read_sidecar(options.settings)
+            return _run(sidecar, options.check, _run_sidecar)
+        case "gateway":
+            from .platform.settings import find_settings_file
+            from .platform.settings import read_gateway
+
+            file = options.settings or find_settings_file()
+            gateway = read_gateway(file)
+            return _run(gateway, options.check, _run_gateway)
+    from .standby.process import wait_for_stop
+
+    wait_for_stop()
+    return EXIT_OK
 
 
 def _run(
-    settings: Result[Settings, Findings],
+    settings: "Result[Settings, Findings] | Result[Settings, str]",
     check: bool,
     run: Callable[[Settings], None],
 ) -> int:
@@ -98,9 +132,12 @@
     return error
 
 
-def _run_entry(settings: EntrySettings) -> None:
+def _run_entry(settings: "EntrySettings") -> None:
     """Run an entry until it is told to stop."""
+    import trio
+
     from .entry.process import EntryProcess
+    from .telemetry.logs import open_log
 
     open_log(settings.process.log, settings.process.name)
 
@@ -110,9 +147,28 @@
     trio.run(serve)
 
 
-def _run_sidecar(settings: SidecarSettings) -> None:
+def _run_gateway(settings: "GatewaySettings") -> None:
+    """Run a gateway until it is told to stop."""
+    import trio
+
+    from .gateway.process import GatewayProcess
+    from .settings.const import STDOUT
+    from .telemetry.logs import open_log
+
+    open_log(STDOUT, settings.name)
+
+    async def serve() -> None:
+        await GatewayProcess(settings).run()
+
+    trio.run(serve)
+
+
+def _run_sidecar(settings: "SidecarSettings") -> None:
     """Run a sidecar until it is told to stop."""
+    import trio
+
     from .sidecar.process import SidecarProcess
+    from .telemetry.logs import open_log
 
     open_log(settings.process.log, settings.process.name)
 
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Directory: what a gateway knows through the key-value service."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/directory/models.py
@@ -0,0 +1,25 @@
+"""Data classes of the directory."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Result
+
+from ..routing.instances import ListedInstance
+from ..routing.models import RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryKeys:
+    """Name the keys that others write and the way to read them."""
+
+    prefix_operator: str
+    key_config: str
+    prefix_versions: str
+    prefix_retire: str
+    prefix_retire_status: str
+    prefix_instances: str
+    read_table: Callable[[bytes], Result[RouteTable, str]]
+    read_named_version: Callable[[bytes], Result[tuple[str, int], str]]
+    read_instance: Callable[[str, bytes], Result[ListedInstance, str]]
+    encode_retired: Callable[[], bytes]
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -0,0 +1,18 @@
+"""Constants of forwarding."""
+
+from typing import Final
+
+# A second try starts when this share of the target passed without answer.
+HEDGE_SHARE: Final = 0.5
+HEDGE_LEAST_S: Final = 0.06
+# The answer that gives up leaves this much before the caller's limit.
+GIVE_UP_MARGIN_S: Final = 0.01
+# An instance that failed is avoided for a while, longer each time.
+AVOID_FIRST_S: Final = 0.5
+AVOID_MOST_S: Final = 5.0
+# Weight of the newest duration in the running mean.
+PACE_WEIGHT: Final = 0.2
+FULL_PAUSE_S: Final = 0.03
+LOAD_AGE_S: Final = 0.5
+RETRY_AFTER_S: Final = 0.1
+MOST_REFUSALS: Final = 8
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway: serve callers and trainers on the users' platform."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -0,0 +1,248 @@
+"""Support what callers and trainers ask of a gateway."""
+
+from collections.abc import Callable
+
+from result import Err
+from result import Ok
+import trio
+
+from ..adapters.http.models import Headers
+from ..adapters.http.models import HttpRequest
+from ..adapters.http.server import Exchange
+from ..const import CONTENT_TYPE_JSON
+from ..directory.coordinator import Directory
+from ..forwarding.coordinator import Forwarder
+from ..forwarding.models import Answered
+from ..forwarding.models import Failed
+from ..forwarding.models import Fault
+from ..forwarding.models import ForwardCall
+from ..helpers.problems import Problem
+from ..helpers.problems import refuse_input
+from ..helpers.problems import refuse_not_run
+from ..helpers.problems import report_unknown
+from ..platform.callers import CallerRequest
+from ..platform.callers import encode_results
+from ..platform.callers import EndSubmission
+from ..platform.callers import read_caller
+from ..platform.callers import read_submission
+from ..platform.callers import read_submission_call
+from ..platform.callers import ReadBody
+from ..platform.callers import ReadResults
+from ..ports.kv import KvFault
+from ..routing.models import CallKind
+from ..routing.models import Route
+from ..submissions import const as submission_const
+from ..submissions.archive import Archive
+from ..submissions.keys import make_part_key
+from ..submissions.reader import SubmissionReader
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from . import const
+
+_JSON: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
+
+
+class GatewayHandler:
+    """Serve callers and trainers."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        forwarder: Forwarder,
+        archive: Archive,
+        reader: SubmissionReader,
+        read_wall_s: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        """Take the parts that do the work."""
+        self._directory = directory
+        self._forwarder = forwarder
+        self._archive = archive
+        self._reader = reader
+        self._read_wall_s = read_wall_s
+        self._metrics = metrics
+
+    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+        """Serve one request."""
+        arrived_at = trio.current_time()
+        self._metrics.count("requests")
+        caller = read_caller(request)
+        if not self._directory.is_known():
+            problem = refuse_not_run("no-configuration", "not known yet")
+            await self._refuse(exchange, caller, problem)
+            return
+        match read_submission_call(request):
+            case ReadResults() as call:
+                await self._read_results(call, caller, exchange)
+            case ReadBody() as call:
+                await self._read_body(call, caller, exchange)
+            case EndSubmission(submission):
+                await self._end(submission, caller, exchange)
+            case None:
+                await self._route(request, caller, exchange, arrived_at)
+
+    async def _route(
+        self,
+        request: HttpRequest,
+        caller: CallerRequest,
+        exchange: Exchange,
+        arrived_at: float,
+    ) -> None:
+        """Serve a request by its route."""
+        table = self._directory.table
+        route = table.find_route(caller.host, request.path)
+        if route is None:
+            detail = f"no route in version {table.version}"
+            problem = refuse_input("unknown-route", detail, 404)
+            await self._refuse(exchange, caller, problem)
+        elif route.kind is CallKind.ROLLOUT:
+            await self._submit(request, caller, exchange)
+        else:
+            await self._forward(request, caller, exchange, route, arrived_at)
+
+    async def _forward(
+        self,
+        request: HttpRequest,
+        caller: CallerRequest,
+        exchange: Exchange,
+        route: Route,
+        arrived_at: float,
+    ) -> None:
+        """Forward a request and answer what came of it."""
+        limit_s = route.timeout_s
+        if caller.deadline_s is not None:
+            limit_s = min(limit_s, caller.deadline_s)
+        outcome = await self._forwarder.forward(
+            ForwardCall(
+                caller.id,
+                route,
+                request.method,
+                request.target,
+                request.raw_headers,
+                request.body,
+                arrived_at + max(0.0, limit_s - const.LIMIT_MARGIN_S),
+                route.max_attempts,
+            )
+        )
+        match outcome:
+            case Answered(status, headers, body):
+                await exchange.send_whole(status, headers, body)
+            case Failed(Fault.NOT_RUN, detail):
+                problem = refuse_not_run("not-run", detail)
+                await self._refuse(exchange, caller, problem)
+            case Failed(Fault.LOST, detail):
+                problem = report_unknown("answer-lost", detail)
+                await self._refuse(exchange, caller, problem)
+
+    async def _submit(
+        self,
+        request: HttpRequest,
+        caller: CallerRequest,
+        exchange: Exchange,
+    ) -> None:
+        """Keep a submission; it is durable before the answer."""
+        if request.method != "POST":
+            problem = refuse_input("method-not-allowed", "use POST", 405)
+            await self._refuse(exchange, caller, problem)
+            return
+        longest = len(make_part_key(caller.id, 0).encode())
+        if not caller.id or longest > submission_const.KEY_BYTES:
+            problem = refuse_input("bad-id", "no usable request id")
+            await self._refuse(exchange, caller, problem)
+            return
+        read = read_submission(request, caller, self._read_wall_s())
+        if isinstance(read, Err):
+            problem = refuse_input("bad-submission", read.err_value)
+            await self._refuse(exchange, caller, problem)
+            return
+        submission = read.ok_value
+        accepted = await self._archive.accept(submission)
+        match accepted:
+            case Ok(new):
+                log_event(
+                    "submission_accepted",
+                    submission=submission.id,
+                    step=submission.step,
+                    model=submission.model,
+                    items=len(submission.items),
+                    new=new,
+                )
+                await exchange.send_whole(202, _JSON, b"{}")
+            case Err(error) if error.fault is KvFault.UNKNOWN:
+                problem = report_unknown("not-settled", error.detail)
+                await self._refuse(exchange, caller, problem)
+            case Err(error):
+                problem = refuse_not_run("store-away", error.detail)
+                await self._refuse(exchange, caller, problem)
+
+    async def _read_results(
+        self, call: ReadResults, caller: CallerRequest, exchange: Exchange
+    ) -> None:
+        """Answer with results from a position on."""
+        found = await self._reader.read(
+            call.submission, call.after, call.wait_s
+        )
+        if isinstance(found, Err):
+            problem = refuse_not_run("store-away", found.err_value.detail)
+            await self._refuse(exchange, caller, problem)
+        elif found.ok_value is None:
+            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+        else:
+            body = encode_results(found.ok_value, call.after)
+            await exchange.send_whole(200, _JSON, body)
+
+    async def _read_body(
+        self, call: ReadBody, caller: CallerRequest, exchange: Exchange
+    ) -> None:
+        """Answer with an item's body."""
+        found = await self._reader.read_body(call.submission, call.item)
+        if isinstance(found, Err):
+            problem = refuse_not_run("store-away", found.err_value.detail)
+            await self._refuse(exchange, caller, problem)
+        elif found.ok_value is None:
+            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+        else:
+            await exchange.send_whole(200, [], found.ok_value)
+
+    async def _end(
+        self, submission: str, caller: CallerRequest, exchange: Exchange
+    ) -> None:
+        """End a submission; the end is durable before the answer."""
+        known = await self._reader.exists(submission)
+        if isinstance(known, Ok) and not known.ok_value:
+            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+            return
+        ended = None
+        if isinstance(known, Ok):
+            ended = await self._archive.mark_end(submission)
+        if isinstance(ended, Ok):
+            log_event("submission_end_kept", submission=submission)
+            await exchange.send_whole(200, _JSON, b"{}")
+            return
+        problem = refuse_not_run("store-away", "the end is not kept")
+        await self._refuse(exchange, caller, problem)
+
+    async def _refuse(
+        self, exchange: Exchange, caller: CallerRequest, problem: Problem
+    ) -> None:
+        """Send a refusal and log what decided it."""
+        self._metrics.count(f"refused_{problem.kind}")
+        log_event(
+            "request_refused",
+            request=caller.id,
+            status=problem.status,
+            kind=problem.kind,
+            detail=problem.detail,
+            configuration=self._directory.table.version,
+        )
+        headers = [
+            (n, v) for n, v in problem.headers() if n != "Retry-After"
+        ]
+        if problem.retry_after_s is not None:
+            headers.append(("Retry-After", str(const.RETRY_AFTER_S)))
+        await exchange.send_whole(problem.status, headers, problem.body())
+
+
+_UNKNOWN_SUBMISSION = refuse_input(
+    "unknown-submission", "there is none of this id", 404
+)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -0,0 +1,13 @@
+"""Constants of the holder's lease."""
+
+from typing import Final
+
+PREFIX_HOLDERS: Final = "ps/h/"
+# Renewed three times within its length, so that one lost call is no loss.
+RENEW_SHARE: Final = 0.3
+# The holder stops giving orders this much before the lease may end.
+MARGIN_S: Final = 0.3
+# Candidates wait in turn, so that a vacancy costs one call, not one each.
+TURN_S: Final = 0.12
+RETRY_S: Final = 0.3
+GIVE_BACK_S: Final = 0.6
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/holding/lease.py
@@ -0,0 +1,86 @@
+"""Support taking and keeping the role of a pool's holder."""
+
+from collections.abc import Callable
+
+import msgspec
+from result import Err
+import trio
+
+from ..ports.kv import KeyValue
+from ..ports.kv import KvCheck
+from ..ports.kv import KvFault
+from ..ports.kv import KvPut
+from ..ports.kv import KvTransaction
+from ..telemetry.logs import log_event
+from . import const
+from .models import HolderRecord
+from .models import Role
+
+
+class RoleKeeper:
+    """Take a pool's key under a lease, and renew it."""
+
+    def __init__(
+        self,
+        kv: KeyValue,
+        record: HolderRecord,
+        lease_s: float,
+        read_boot_time: Callable[[], float],
+    ) -> None:
+        """Take the record that is written under the key."""
+        self._kv = kv
+        self._record = record
+        self._lease_s = lease_s
+        self._read_boot_time = read_boot_time
+
+    async def take(self, pool: str, known_revision: int) -> Role | None:
+        """Take a vacant key, or one of an earlier life of this gateway."""
+        sent_at = self._read_boot_time()
+        granted = await self._kv.grant_lease(self._lease_s)
+        if isinstance(granted, Err):
+            return None
+        lease = granted.ok_value
+        key = const.PREFIX_HOLDERS + pool
+        value = msgspec.json.encode(self._record)
+        transaction = KvTransaction(
+            (KvCheck(key, known_revision),), (KvPut(key, value, lease),)
+        )
+        written = await self._kv.commit(transaction)
+        if isinstance(written, Err):
+            unknown = written.err_value.fault is KvFault.UNKNOWN
+            fence = await self._read_fence(key, value) if unknown else 0
+        else:
+            fence = written.ok_value.revision if written.ok_value.won else 0
+        if not fence:
+            return None
+        valid_until = sent_at + self._lease_s - const.MARGIN_S
+        log_event("role_taken", pool=pool, fence=fence)
+        return Role(pool, key, fence, lease, valid_until)
+
+    async def renew(self, role: Role) -> bool:
+        """Renew a role until its lease lapsed; then return False."""
+        while True:
+            await trio.sleep(self._lease_s * const.RENEW_SHARE)
+            sent_at = self._read_boot_time()
+            kept = await self._kv.keep_lease(role.lease)
+            if isinstance(kept, Err) and not role.lost:
+                continue
+            if role.lost or kept.unwrap_or(0.0) <= 0:
+                role.lost = True
+                log_event("role_lapsed", pool=role.pool, fence=role.fence)
+                return False
+            role.valid_until = sent_at + kept.unwrap() - const.MARGIN_S
+
+    async def give_back(self, role: Role) -> None:
+        """Give a role back, so that another gateway takes it at once."""
+        role.lost = True
+        with trio.move_on_after(const.GIVE_BACK_S):
+            await self._kv.revoke_lease(role.lease)
+        log_event("role_given_back", pool=role.pool, fence=role.fence)
+
+    async def _read_fence(self, key: str, value: bytes) -> int:
+        """Settle a lost reply by reading back; 0 when the write lost."""
+        item = await self._kv.get_item(key)
+        if isinstance(item, Err) or item.ok_value is None:
+            return 0
+        return item.ok_value.revision if item.ok_value.value == value else 0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing decides here."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -0,0 +1,240 @@
+"""Support what the platform's consumers send, and the answers to it."""
+
+from base64 import b64decode
+from base64 import b64encode
+import binascii
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..adapters.http.models import HttpRequest
+from ..submissions.models import Item
+from ..submissions.models import ResultPage
+from ..submissions.models import ScoreCall
+from ..submissions.models import Submission
+from . import const
+
+_LENGTH_HINT = "length-hint"
+_TOKEN_COUNTS = "token-counts"
+
+
+class ScorerMessage(msgspec.Struct):
+    """Hold the call that scores an item; `body` is base64."""
+
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
+class ItemMessage(msgspec.Struct):
+    """Hold an item; `body` is base64."""
+
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    body: str = ""
+    group: str = ""
+    tokens: float = 0
+    scorer: ScorerMessage | None = None
+
+
+class SubmissionMessage(msgspec.Struct):
+    """Hold a batch submission."""
+
+    items: list[ItemMessage]
+    step: int = 0
+    model: str = ""
+    minVersion: int = 0
+    targetGroups: int = 0
+
+
+class ResultMessage(msgspec.Struct):
+    """Hold one result."""
+
+    id: str
+    state: str
+    text: str
+    versions: list[int]
+    score: str
+
+
+class ResultsMessage(msgspec.Struct):
+    """Hold the results from a position on."""
+
+    total: int
+    next: int
+    results: list[ResultMessage]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold what a caller's headers say; the deadline is in seconds."""
+
+    id: str
+    host: str
+    deadline_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadResults:
+    """Ask for the results of a submission from a position on."""
+
+    submission: str
+    after: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBody:
+    """Ask for the body of an item."""
+
+    submission: str
+    item: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndSubmission:
+    """Ask to end a submission."""
+
+    submission: str
+
+
+SubmissionCall = ReadResults | ReadBody | EndSubmission
+
+
+def read_caller(request: HttpRequest) -> CallerRequest:
+    """Read the headers that concern the system itself."""
+    deadline_ms = _read_float(request.headers.get(const.HEADER_DEADLINE))
+    return CallerRequest(
+        request.headers.get(const.HEADER_ID, ""),
+        request.headers.get("host", ""),
+        None if deadline_ms is None else deadline_ms / 1000,
+    )
+
+
+def read_submission_call(request: HttpRequest) -> SubmissionCall | None:
+    """Read a call on a submission; None when it is something else."""
+    parameters = request.parameters()
+    if request.path.startswith(const.PATH_LOTS):
+        name = unquote(request.path.removeprefix(const.PATH_LOTS))
+        if request.method == "DELETE":
+            return EndSubmission(name)
+        if request.method == "GET":
+            after = _read_float(parameters.get("after")) or 0.0
+            wait_ms = _read_float(request.headers.get(const.HEADER_WAIT))
+            return ReadResults(name, int(after), (wait_ms or 0.0) / 1000)
+    if request.path.startswith(const.PATH_ITEMS) and request.method == "GET":
+        name = unquote(request.path.removeprefix(const.PATH_ITEMS))
+        return ReadBody(name, parameters.get("id", ""))
+    return None
+
+
+def read_submission(
+    request: HttpRequest, caller: CallerRequest, arrived_s: float
+) -> Result[Submission, str]:
+    """Read a batch submission."""
+    try:
+        message = msgspec.json.decode(request.body, type=SubmissionMessage)
+        items = [_read_item(item) for item in message.items]
+    except (msgspec.MsgspecError, binascii.Error) as error:
+        return Err(str(error))
+    return Ok(
+        Submission(
+            caller.id,
+            caller.host,
+            request.path,
+            message.model,
+            message.step,
+            message.minVersion,
+            message.targetGroups,
+            items,
+            arrived_s,
+        )
+    )
+
+
+def encode_results(page: ResultPage, after: int) -> bytes:
+    """Encode the results from a position on."""
+    results = [
+        ResultMessage(
+            result.id,
+            "completed" if result.completed else "down",
+            result.text,
+            result.versions,
+            result.score,
+        )
+        for result in page.results
+    ]
+    message = ResultsMessage(page.total, after + len(results), results)
+    return msgspec.json.encode(message)
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Encode a submission as a trainer sends it, for stand-ins and tests."""
+    items = [
+        ItemMessage(
+            item.id,
+            item.path,
+            dict(item.headers),
+            b64encode(item.body).decode(),
+            item.group,
+            item.expected_tokens,
+            _make_scorer(item.scorer),
+        )
+        for item in submission.items
+    ]
+    return msgspec.json.encode(
+        SubmissionMessage(
+            items,
+            submission.step,
+            submission.model,
+            submission.min_version,
+            submission.wanted_groups,
+        )
+    )
+
+
+def _read_item(message: ItemMessage) -> Item:
+    """Make an item; raises binascii.Error for a bad body."""
+    scorer = message.scorer
+    headers = {name.lower(): v for name, v in message.headers.items()}
+    counts = headers.get(_TOKEN_COUNTS, "").rpartition(",")[2]
+    expected = _read_float(headers.get(_LENGTH_HINT)) or _read_float(counts)
+    return Item(
+        message.id,
+        message.path,
+        list(message.headers.items()),
+        b64decode(message.body, validate=True),
+        message.group or message.id,
+        expected or message.tokens,
+        None
+        if scorer is None
+        else ScoreCall(
+            scorer.id,
+            scorer.host,
+            scorer.path,
+            b64decode(scorer.body, validate=True),
+        ),
+    )
+
+
+def _make_scorer(scorer: ScoreCall | None) -> ScorerMessage | None:
+    """Make the message of a scoring call."""
+    if scorer is None:
+        return None
+    body = b64encode(scorer.body).decode()
+    return ScorerMessage(scorer.id, scorer.host, scorer.path, body)
+
+
+def _read_float(text: str | None) -> float | None:
+    """Read a number that is not negative; None for anything else."""
+    try:
+        value = float(text) if text else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < 1e12 else None
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -0,0 +1,143 @@
+"""Support the operator's configuration as the platform's store holds it."""
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..routing.models import CallerLimits
+from ..routing.models import CallKind
+from ..routing.models import Route
+from ..routing.models import RouteTable
+from ..routing.models import Share
+from ..routing.models import UpstreamPolicy
+
+_KINDS = {kind.value: kind for kind in CallKind}
+
+
+class SplitMessage(msgspec.Struct):
+    """Hold a share of a route."""
+
+    service: str
+    weight: float
+
+
+class RouteMessage(msgspec.Struct):
+    """Hold one route; times are in milliseconds but `maxAgeS`."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str = "safe"
+    timeoutMs: float = 10_000
+    targetLatencyMs: float = 1000
+    priority: int = 5
+    maxAttempts: int = 1
+    service: str = ""
+    split: list[SplitMessage] = []
+    resumable: bool = False
+    stream: bool = False
+    resultDueMs: float = 0
+    maxAgeS: float = 0
+    singleVersion: bool = False
+
+
+class ModelMessage(msgspec.Struct):
+    """Name a model."""
+
+    name: str
+
+
+class EngineMessage(msgspec.Struct):
+    """Describe the engine of an upstream."""
+
+    models: list[ModelMessage] = []
+
+
+class ServiceMessage(msgspec.Struct):
+    """Describe an upstream."""
+
+    name: str
+    maxConns: int = 100
+    engine: EngineMessage | None = None
+
+
+class LimitsMessage(msgspec.Struct):
+    """Bound what callers may send."""
+
+    maxHeaderBytes: int = 16_384
+    maxBodyBytes: int = 33_554_432
+    headerTimeoutMs: float = 3000
+    idleTimeoutMs: float = 15_000
+
+
+class ConfigMessage(msgspec.Struct):
+    """Hold the whole configuration."""
+
+    version: int
+    routes: list[RouteMessage]
+    services: list[ServiceMessage]
+    limits: LimitsMessage
+
+
+class NamedVersionMessage(msgspec.Struct):
+    """Name the weights that a model shall have."""
+
+    model: str
+    version: int
+
+
+def read_table(value: bytes) -> Result[RouteTable, str]:
+    """Decode the operator's configuration."""
+    try:
+        message = msgspec.json.decode(value, type=ConfigMessage)
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    routes = tuple(_read_route(route) for route in message.routes)
+    upstreams = {s.name: _read_upstream(s) for s in message.services}
+    limits = CallerLimits(
+        message.limits.maxHeaderBytes,
+        message.limits.maxBodyBytes,
+        message.limits.headerTimeoutMs / 1000,
+        message.limits.idleTimeoutMs / 1000,
+    )
+    return Ok(RouteTable(message.version, routes, upstreams, limits))
+
+
+def read_named_version(value: bytes) -> Result[tuple[str, int], str]:
+    """Decode the version that a trainer named for a model."""
+    try:
+        message = msgspec.json.decode(value, type=NamedVersionMessage)
+    except msgspec.MsgspecError as error:
+        return Err(str(error))
+    return Ok((message.model, message.version))
+
+
+def _read_route(message: RouteMessage) -> Route:
+    """Make the route."""
+    split = message.split or [SplitMessage(message.service, 1.0)]
+    # A kind that this page does not know may not be repeated.
+    kind = _KINDS.get(message.kind, CallKind.UNSAFE)
+    return Route(
+        message.name,
+        message.host,
+        message.prefix,
+        kind,
+        tuple(Share(s.service, s.weight) for s in split),
+        message.timeoutMs / 1000,
+        message.targetLatencyMs / 1000,
+        message.priority,
+        max(1, message.maxAttempts),
+        message.resumable,
+        message.stream or message.kind == "stream",
+        message.resultDueMs / 1000,
+        message.maxAgeS,
+        message.singleVersion,
+    )
+
+
+def _read_upstream(message: ServiceMessage) -> UpstreamPolicy:
+    """Make the upstream."""
+    models = message.engine.models if message.engine else []
+    names = tuple(model.name for model in models)
+    return UpstreamPolicy(message.name, message.maxConns, names)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -0,0 +1,117 @@
+"""Support the platform's settings file (YAML), found by a variable."""
+
+from dataclasses import dataclass
+import os
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..adapters.http.client import Address
+from ..adapters.http.client import parse_address
+from . import const
+
+
+class ListenMessage(msgspec.Struct):
+    """Hold the addresses to listen at."""
+
+    front: str = ""
+    ready: str = ""
+
+
+class LimitsMessage(msgspec.Struct):
+    """Hold the machine's limits."""
+
+    memoryMb: float = 256
+    maxFds: int = 1024
+
+
+class BoundsMessage(msgspec.Struct):
+    """Hold the bounds of the deployment."""
+
+    stableMs: float = 3000
+    drainMs: float = 2000
+    graceS: float = 8
+    cancelMs: float = 3000
+    leaseMs: float = 3000
+    statusS: float = 120
+    requireFence: bool = True
+
+
+class StoreMessage(msgspec.Struct):
+    """Describe the platform's store."""
+
+    address: str
+    valueBytes: int = 1_048_576
+    ttlMinMs: float = 1000
+
+
+class SettingsMessage(msgspec.Struct):
+    """Hold the settings of one process; unknown fields are ignored."""
+
+    node: str
+    zone: str
+    ip: str
+    platform: StoreMessage
+    listen: ListenMessage = msgspec.field(default_factory=ListenMessage)
+    internalPorts: list[int] = []
+    heartbeatMs: float = 1200
+    limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
+    bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Hold what a gateway needs; times are in seconds, sizes in bytes."""
+
+    name: str
+    zone: str
+    store: Address
+    listen: Address | None
+    ready: Address | None
+    peer: Address
+    metrics_port: int
+    value_bytes: int
+    lease_s: float
+    grace_s: float
+    keep_results_s: float
+    memory_mb: float
+    max_descriptors: int
+
+
+def find_settings_file() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(const.SETTINGS_VARIABLE, const.SETTINGS_FILE)
+
+
+def read_gateway(file: str) -> Result[GatewaySettings, str]:
+    """Read the settings; the error names the file and what is wrong."""
+    try:
+        with open(file, "rb") as stream:
+            message = msgspec.yaml.decode(stream.read(), type=SettingsMessage)
+        return Ok(_make_settings(message))
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        return Err(f"{file}: {error}")
+
+
+def _make_settings(message: SettingsMessage) -> GatewaySettings:
+    """Make the settings; raises ValueError for a bad address."""
+    listen = message.listen
+    first_port, *_ = message.internalPorts or [0]
+    bounds = message.bounds
+    return GatewaySettings(
+        message.node,
+        message.zone,
+        parse_address(message.platform.address),
+        parse_address(listen.front) if listen.front else None,
+        parse_address(listen.ready) if listen.ready else None,
+        Address(message.ip, first_port),
+        first_port + 1,
+        message.platform.valueBytes,
+        max(bounds.leaseMs, message.platform.ttlMinMs) / 1000,
+        bounds.graceS,
+        bounds.statusS,
+        message.limits.memoryMb,
+        message.limits.maxFds,
+    )
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -10,9 +10,13 @@
 
 
 class KvFault(Enum):
-    """Say what is known of a call that failed."""
+    """Say what is known of a call that failed.
+
+    NOT_SENT certainly had no effect, NO_LEASE neither: the lease is gone.
+    """
 
     NOT_SENT = "not-sent"
+    NO_LEASE = "no-lease"
     UNKNOWN = "unknown"
 
 
@@ -52,10 +56,28 @@
 
 @dataclass(frozen=True, slots=True)
 class KvPut:
-    """Hold a write that goes with another one."""
+    """Hold a write that goes with others."""
 
     key: str
     value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KvCheck:
+    """Ask that a key was last changed at a revision; 0 means absent."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvTransaction:
+    """Hold writes and removals that happen all or not at all."""
+
+    checks: tuple[KvCheck, ...]
+    puts: tuple[KvPut, ...] = ()
+    removals: tuple[str, ...] = ()
 
 
 class KeyValue(Protocol):
@@ -88,6 +110,11 @@
         `also` is written in the same transaction.
         """
 
+    async def commit(
+        self, transaction: KvTransaction
+    ) -> Result[KvWrite, KvError]:
+        """Carry out a transaction if all its checks hold."""
+
     async def put_item(
         self, key: str, value: bytes, lease: int = 0
     ) -> Result[int, KvError]:
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which route a request takes, as the operator configured it."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/standby/__init__.py
@@ -0,0 +1,1 @@
+"""Standby: a process for instances that the platform wants occupied."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -0,0 +1,38 @@
+"""Constants of submissions."""
+
+from typing import Final
+
+from ..const import MEBIBYTE
+
+PREFIX_SUBMISSIONS: Final = "ps/s/"
+PREFIX_RESULTS: Final = "ps/r/"
+SUFFIX_END: Final = "/end"
+KEY_BYTES: Final = 200
+# Parts of a submission's record; a transaction takes 32 rows.
+MOST_PARTS: Final = 24
+
+# Results that are whole wait this long for others of their groups; groups
+# earn when they are whole, so most writes carry whole groups.
+LINGER_S: Final = 0.9
+GATHER_S: Final = 0.05
+COMMIT_ROWS: Final = 12
+COMMIT_BYTES: Final = MEBIBYTE // 2
+COMMIT_RETRY_S: Final = 0.15
+
+# A sampler makes an event each 35 to 150 ms; one that says nothing for so
+# long has lost the stream, or its place.
+STALL_S: Final = 1.2
+FIRST_EVENT_S: Final = 2.0
+ITEM_TIME_S: Final = 30.0
+RETRY_S: Final = 0.1
+AVOID_S: Final = 0.5
+SCORE_TIME_S: Final = 1.5
+SCORES_AT_ONCE: Final = 12
+
+PAGE_BYTES: Final = MEBIBYTE * 9 // 10
+PEER_TIMEOUT_S: Final = 0.4
+MOST_WAIT_S: Final = 1.0
+CACHED_SUBMISSIONS: Final = 256
+SWEEP_S: Final = 20.0
+# Clocks of instances differ by some seconds.
+CLOCK_SLACK_S: Final = 6.0
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -0,0 +1,314 @@
+"""Support the work of a pool's holder: take, run, list submissions."""
+
+from collections.abc import Callable
+from random import Random
+
+from result import Err
+import trio
+
+from ..directory.coordinator import Directory
+from ..directory.mirror import PrefixMirror
+from ..holding.models import Role
+from ..ports.kv import KeyValue
+from ..ports.kv import KvEvent
+from ..routing.instances import ListedInstance
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from ..versions.coordinator import VersionCoordinator
+from ..versions.decisions import ModelNeed
+from . import const
+from .archive import Archive
+from .board import Board
+from .board import ItemState
+from .board import make_state
+from .board import Phase
+from .board import SubmissionState
+from .commits import ResultCommitter
+from .keys import read_submission_key
+from .models import Submission
+from .runner import give_up
+from .runner import ItemRunner
+from .scheduling import choose_seat
+from .scheduling import order_items
+from .scheduling import Seat
+
+
+class PoolCoordinator:
+    """Work on the submissions of one pool while its role is held."""
+
+    def __init__(
+        self,
+        pool: str,
+        kv: KeyValue,
+        archive: Archive,
+        directory: Directory,
+        runner: ItemRunner,
+        versions: VersionCoordinator,
+        read_wall_s: Callable[[], float],
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Begin with no submission."""
+        self.pool = pool
+        self.board = Board()
+        self._kv = kv
+        self._archive = archive
+        self._directory = directory
+        self._runner = runner
+        self._versions = versions
+        self._read_wall_s = read_wall_s
+        self._metrics = metrics
+        self._rng = rng
+        self._committer = ResultCommitter(
+            kv, archive, self.board, trio.current_time, metrics, rng
+        )
+        self._in_flight: dict[str, int] = {}
+        self._seat_avoided: dict[str, float] = {}
+        self._group_seats: dict[tuple[str, str], str] = {}
+        self._early_ends: set[str] = set()
+        self._loads: trio.MemorySendChannel[KvEvent] | None = None
+
+    async def work(self, role: Role) -> None:
+        """Work until cancelled, that is until another gateway took over."""
+        mirror = PrefixMirror(
+            self._kv, const.PREFIX_SUBMISSIONS, self._take_event, self._rng
+        )
+        send, receive = trio.open_memory_channel[KvEvent](100_000)
+        self._loads = send
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(mirror.run)
+                nursery.start_soon(self._load_submissions, receive, role)
+                nursery.start_soon(self._committer.run, role)
+                nursery.start_soon(self._schedule, role, nursery)
+        finally:
+            self._loads = None
+            self.board.clear()
+            self._in_flight.clear()
+            self._versions.loading.clear()
+
+    async def flush(self, role: Role) -> None:
+        """Make durable what is finished, before the role is given back."""
+        await self._committer.flush(role)
+
+    def _take_event(self, event: KvEvent) -> None:
+        """Take over a submission, or its end."""
+        submission, rest = read_submission_key(event.key)
+        if rest == const.SUFFIX_END:
+            if event.value is not None:
+                self.board.end(submission)
+                log_event("submission_ended", submission=submission)
+                # It may come before the submission that it ends.
+                self._early_ends.add(submission)
+        elif rest == "" and event.value is not None and self._loads:
+            self._loads.send_nowait(event)
+        elif rest == "":
+            self.board.end(submission)
+            self.board.submissions.pop(submission, None)
+
+    async def _load_submissions(
+        self, events: trio.MemoryReceiveChannel[KvEvent], role: Role
+    ) -> None:
+        """Load submissions as they come; one task."""
+        async for event in events:
+            submission, _ = read_submission_key(event.key)
+            if submission in self.board.submissions:
+                continue
+            while not await self._load(submission, event, role):
+                await trio.sleep(const.RETRY_S)
+
+    async def _load(self, name: str, event: KvEvent, role: Role) -> bool:
+        """Load one submission and its results; False to try again."""
+        assert event.value is not None
+        record = await self._archive.read_record(name, event.value)
+        if isinstance(record, Err):
+            return False
+        submission = record.ok_value
+        if self._find_pool(submission) != self.pool:
+            return True
+        ended = name in self._early_ends
+        table = self._directory.table
+        route = table.find_route(submission.host, submission.path)
+        state = make_state(
+            submission,
+            trio.current_time(),
+            self._read_wall_s(),
+            route.due_s if route else 0.0,
+            (route.give_up_s if route else 0.0) + const.CLOCK_SLACK_S,
+        )
+        # What came after this role began has no earlier results.
+        if event.revision < role.fence and not ended:
+            results = await self._archive.load_results(name)
+            if isinstance(results, Err):
+                return False
+            state.list_results(results.ok_value)
+        state.ended = ended or name in self._early_ends
+        self.board.submissions[name] = state
+        log_event(
+            "submission_loaded",
+            submission=name,
+            step=submission.step,
+            model=submission.model,
+            items=len(state.items),
+            listed=len(state.listed),
+            ended=state.ended,
+        )
+        self.board.wake()
+        return True
+
+    def _find_pool(self, submission: Submission) -> str:
+        """Return the pool that holds a submission's model."""
+        for upstream in self._directory.table.find_pools():
+            if submission.model in upstream.models:
+                return upstream.name
+        return ""
+
+    async def _schedule(self, role: Role, nursery: trio.Nursery) -> None:
+        """Start what may run, again after each change; one task."""
+        self._directory.subscribe(self.board.wake)
+        while True:
+            woken = self.board.woken
+            now = trio.current_time()
+            instances = self._list_instances(now)
+            policy = self._directory.table.upstreams.get(self.pool)
+            models = list(policy.models) if policy else []
+            self._versions.learn(list(instances.values()), models)
+            self._start_items(instances, now, nursery)
+            self._versions.order_loads(
+                role, instances, self._find_needs(models), nursery, self._wake
+            )
+            with trio.move_on_after(const.RETRY_S):
+                await woken.wait()
+
+    def _wake(self) -> None:
+        """Look again at what may run."""
+        self.board.wake()
+
+    def _list_instances(self, now: float) -> dict[str, ListedInstance]:
+        """Return the pool's instances that take new work."""
+        found = self._directory.find_instances(self.pool, now)
+        return {instance.name: instance for instance in found}
+
+    def _start_items(
+        self,
+        instances: dict[str, ListedInstance],
+        now: float,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Start waiting items where there is room."""
+        for submission, state in order_items(self.board.list_open(), now):
+            if now >= submission.give_up_at:
+                self._give_up(submission, state, now)
+                continue
+            model = submission.submission.model
+            group = (submission.submission.id, state.item.group)
+            seat = choose_seat(
+                self._list_seats(instances, model, now),
+                submission.submission.min_version,
+                self._group_seats.get(group, ""),
+                state.avoided,
+            )
+            if seat is None:
+                continue
+            self._group_seats[group] = seat.instance
+            state.phase = Phase.RUNNING
+            state.instance = seat.instance
+            state.began_at = now
+            self._in_flight[seat.instance] = (
+                self._in_flight.get(seat.instance, 0) + 1
+            )
+            nursery.start_soon(
+                self._run_item, submission, state, instances[seat.instance]
+            )
+
+    def _list_seats(
+        self, instances: dict[str, ListedInstance], model: str, now: float
+    ) -> list[Seat]:
+        """Describe the instances for a model's items."""
+        versions = self._versions
+        seats: list[Seat] = []
+        for name, instance in instances.items():
+            load = versions.loading.get(name)
+            if load is not None and load.model == model:
+                continue
+            seats.append(
+                Seat(
+                    name,
+                    versions.find_version(name, model),
+                    instance.slots - self._in_flight.get(name, 0),
+                    max(1, instance.slots),
+                    self._runner.paces.find(name),
+                    now < self._seat_avoided.get(name, 0.0),
+                    versions.assigned.get(name) == model,
+                )
+            )
+        return seats
+
+    def _find_needs(self, models: list[str]) -> dict[str, ModelNeed]:
+        """Say what the work of each model needs of its instances."""
+        needs: dict[str, ModelNeed] = {}
+        opened = self.board.list_open()
+        for model in models:
+            mine = [s for s in opened if s.submission.model == model]
+            states = [state for s in mine for state in s.items.values()]
+            busy = frozenset(
+                state.instance
+                for state in states
+                if state.phase is Phase.RUNNING
+            )
+            waiting = any(s.phase is Phase.WAITING for s in states)
+            required = max(
+                (s.submission.min_version for s in mine), default=0
+            )
+            named = self._directory.named_versions.get(model, 1)
+            needs[model] = ModelNeed(named, required, waiting, busy)
+        return needs
+
+    async def _run_item(
+        self,
+        submission: SubmissionState,
+        state: ItemState,
+        instance: ListedInstance,
+    ) -> None:
+        """Run an item once; one that brought no result waits again."""
+        result = None
+        route = self._directory.table.find_route(
+            submission.submission.host, state.item.path
+        )
+        state.scope = trio.CancelScope()
+        seated = True
+
+        def leave() -> None:
+            nonlocal seated
+            if seated:
+                seated = False
+                self._in_flight[instance.name] -= 1
+                self.board.wake()
+
+        with state.scope:
+            try:
+                if route is not None and not submission.ended:
+                    result = await self._runner.run(
+                        submission, state, instance, route, leave
+                    )
+            finally:
+                leave()
+                state.scope = None
+        now = trio.current_time()
+        if submission.ended:
+            return
+        if result is None:
+            if state.avoided == instance.name:
+                self._seat_avoided[instance.name] = now + const.AVOID_S
+            state.phase = Phase.WAITING
+            state.instance = ""
+        else:
+            submission.finish(result, now)
+        self.board.wake()
+
+    def _give_up(
+        self, submission: SubmissionState, state: ItemState, now: float
+    ) -> None:
+        """List an item as not done: its time is over."""
+        submission.finish(give_up(state, "age"), now)
+        self.board.wake()
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -0,0 +1,301 @@
+"""Support running one item: its stream, its way on, its scoring call."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from ..forwarding.coordinator import Forwarder
+from ..forwarding.models import Answered
+from ..forwarding.models import Failed
+from ..forwarding.models import ForwardCall
+from ..ports.sampler import SamplerAnswer
+from ..ports.sampler import SamplerCall
+from ..ports.sampler import Samplers
+from ..ports.sampler import StreamEvent
+from ..ports.upstream import UpstreamError
+from ..ports.upstream import UpstreamNotSentError
+from ..routing.instances import ListedInstance
+from ..routing.models import Route
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from . import const
+from .board import ItemState
+from .board import Phase
+from .board import SubmissionState
+from .models import SampleResult
+
+STATUS_OK = 200
+STATUS_ERROR = 500
+STATUS_NEVER = 422
+
+FindRoute = Callable[[str, str], Route | None]
+
+
+class StreamError(Exception):
+    """Tell that a stream can't be used; `restart` voids what it gave."""
+
+    def __init__(self, detail: str, restart: bool = False) -> None:
+        """Take what was wrong."""
+        super().__init__(detail)
+        self.restart = restart
+
+
+@dataclass(slots=True)
+class PaceBook:
+    """Hold the mean time between events of each instance, in seconds."""
+
+    paces: dict[str, float]
+
+    def note(self, instance: str, gap_s: float) -> None:
+        """Take the mean gap of one stream."""
+        known = self.paces.get(instance, gap_s)
+        self.paces[instance] = known + 0.3 * (gap_s - known)
+
+    def find(self, instance: str) -> float:
+        """Return an instance's pace; that of the others when unknown."""
+        if instance in self.paces:
+            return self.paces[instance]
+        return min(self.paces.values(), default=0.04)
+
+
+class ItemRunner:
+    """Run items at instances and their scoring calls."""
+
+    def __init__(
+        self,
+        samplers: Samplers,
+        forwarder: Forwarder,
+        find_route: FindRoute,
+        observe: Callable[[str, str, int], None],
+        metrics: Metrics,
+    ) -> None:
+        """Take the ways to instances and routes."""
+        self._samplers = samplers
+        self._forwarder = forwarder
+        self._find_route = find_route
+        self._observe = observe
+        self._metrics = metrics
+        self._scoring = trio.CapacityLimiter(const.SCORES_AT_ONCE)
+        self.paces = PaceBook({})
+
+    async def run(
+        self,
+        submission: SubmissionState,
+        state: ItemState,
+        instance: ListedInstance,
+        route: Route,
+        leave: Callable[[], None],
+    ) -> SampleResult | None:
+        """Run an item at an instance; None when it is to run again.
+
+        `leave` is called once the instance has nothing to do for it.
+        """
+        detail = ""
+        try:
+            whole = await self._stream(submission, state, instance, route)
+        except UpstreamNotSentError as error:
+            whole, detail = False, str(error)
+            state.avoided = instance.name
+        except UpstreamError as error:
+            whole, detail = False, str(error)
+            state.avoided = instance.name
+        except StreamError as error:
+            whole, detail = False, str(error)
+            state.avoided = instance.name
+            if error.restart:
+                state.restart()
+        if detail:
+            self._metrics.count("item_attempts_lost")
+            log_event(
+                "item_attempt_lost",
+                submission=submission.submission.id,
+                item=state.item.id,
+                instance=instance.name,
+                events=state.last_event,
+                detail=detail,
+            )
+        if state.errors >= route.max_attempts:
+            return give_up(state, "errors")
+        if not whole:
+            return None
+        leave()
+        return await self._finish(submission, state)
+
+    async def _stream(
+        self,
+        submission: SubmissionState,
+        state: ItemState,
+        instance: ListedInstance,
+        route: Route,
+    ) -> bool:
+        """Read an item's stream; return whether its text is whole."""
+        item = state.item
+        call = SamplerCall(
+            item.id,
+            "POST",
+            item.path,
+            [*item.headers, ("Host", submission.submission.host)],
+            item.body,
+            const.ITEM_TIME_S,
+            after_event=state.last_event or None,
+        )
+        with trio.CancelScope() as silence:
+            silence.deadline = trio.current_time() + const.FIRST_EVENT_S
+            async with self._samplers.call(instance, call) as answer:
+                if answer.not_run or answer.status != STATUS_OK:
+                    await self._take_refusal(state, answer)
+                    return False
+                self._check_version(submission, state, instance, answer)
+                await self._read_events(
+                    submission, state, instance, answer, silence
+                )
+        if silence.cancelled_caught:
+            raise StreamError("no event in time")
+        if route.single_version and len(set(state.versions)) > 1:
+            raise StreamError("more than one version", restart=True)
+        return True
+
+    async def _take_refusal(
+        self, state: ItemState, answer: SamplerAnswer
+    ) -> None:
+        """Note an answer that is no stream."""
+        await answer.read()
+        state.not_before = trio.current_time() + const.RETRY_S
+        if answer.not_run:
+            self._metrics.count("item_refusals")
+            return
+        if answer.status == STATUS_NEVER:
+            state.errors = 1_000_000
+        elif answer.status == STATUS_ERROR:
+            state.errors += 1
+        else:
+            raise StreamError(f"status {answer.status}")
+
+    def _check_version(
+        self,
+        submission: SubmissionState,
+        state: ItemState,
+        instance: ListedInstance,
+        answer: SamplerAnswer,
+    ) -> None:
+        """Take the version that a stream begins with; raises StreamError."""
+        version = answer.version
+        if version is None or not answer.stamp:
+            raise StreamError("an answer without version or signature")
+        self._observe(instance.name, submission.submission.model, version)
+        if version < submission.submission.min_version:
+            raise StreamError(f"version {version} is too old")
+        state.instance = instance.name
+
+    async def _read_events(
+        self,
+        submission: SubmissionState,
+        state: ItemState,
+        instance: ListedInstance,
+        answer: SamplerAnswer,
+        silence: trio.CancelScope,
+    ) -> None:
+        """Take over the events of a stream, each once and in order."""
+        version = answer.version or 0
+        began_at = trio.current_time()
+        before = state.last_event
+        async for event in answer.events():
+            now = trio.current_time()
+            silence.deadline = now + const.STALL_S
+            if event.number == before + 1 == state.last_event + 1:
+                began_at = now
+            if event.version is not None and event.version != version:
+                version = event.version
+                model = submission.submission.model
+                self._observe(instance.name, model, version)
+            self._take_event(state, event, version)
+        count = state.last_event - before
+        if count > 1:
+            gap_s = (trio.current_time() - began_at) / (count - 1)
+            self.paces.note(instance.name, gap_s)
+
+    def _take_event(
+        self, state: ItemState, event: StreamEvent, version: int
+    ) -> None:
+        """Take over one event; raises StreamError out of order."""
+        if event.number != state.last_event + 1:
+            detail = f"event {event.number} after {state.last_event}"
+            raise StreamError(detail, restart=True)
+        state.last_event = event.number
+        state.events.append(event.data)
+        if version not in state.versions:
+            state.versions.append(version)
+
+    async def _finish(
+        self, submission: SubmissionState, state: ItemState
+    ) -> SampleResult | None:
+        """Score a whole text; None when the submission ended."""
+        state.phase = Phase.SCORING
+        score = ""
+        if state.item.scorer is not None:
+            found = await self._score(submission, state)
+            if found is None:
+                return give_up(state, "scoring")
+            score = found
+        return SampleResult(
+            state.item.id,
+            True,
+            "\n".join(state.events),
+            sorted(state.versions),
+            score,
+        )
+
+    async def _score(
+        self, submission: SubmissionState, state: ItemState
+    ) -> str | None:
+        """Return the signature of the scoring call, None if none comes."""
+        scorer = state.item.scorer
+        assert scorer is not None
+        while True:
+            route = self._find_route(scorer.host, scorer.path)
+            if route is None:
+                await trio.sleep(const.RETRY_S)
+                continue
+            async with self._scoring:
+                now = trio.current_time()
+                outcome = await self._forwarder.forward(
+                    ForwardCall(
+                        scorer.id,
+                        route,
+                        "POST",
+                        scorer.path,
+                        [("Host", scorer.host)],
+                        scorer.body,
+                        now + const.SCORE_TIME_S,
+                        1,
+                        hedged=False,
+                    )
+                )
+            match outcome:
+                case Answered(status=status, stamp=stamp) if (
+                    200 <= status < 300 and stamp
+                ):
+                    return stamp
+                case Answered(status=status):
+                    state.score_errors += status == STATUS_ERROR
+                    if state.score_errors >= route.max_attempts:
+                        return None
+                case Failed(detail=detail):
+                    log_event(
+                        "score_lost", item=state.item.id, detail=detail
+                    )
+            await trio.sleep(const.RETRY_S)
+
+
+def give_up(state: ItemState, reason: str) -> SampleResult:
+    """Return the result of an item that can't be completed."""
+    log_event(
+        "item_given_up",
+        item=state.item.id,
+        reason=reason,
+        errors=state.errors,
+        score_errors=state.score_errors,
+    )
+    return SampleResult(state.item.id, False, "", [], "")
+
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
@@ -0,0 +1,163 @@
+"""Support keeping the weights of a pool's instances up to date."""
+
+from collections.abc import Callable
+
+from result import Err
+import trio
+
+from ..holding.models import Role
+from ..ports.sampler import LoadOrder
+from ..ports.sampler import OrderReply
+from ..ports.sampler import Samplers
+from ..routing.instances import ListedInstance
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from . import const
+from .decisions import assign_models
+from .decisions import choose_loads
+from .decisions import Load
+from .decisions import ModelNeed
+
+
+class VersionCoordinator:
+    """Order an instance at a time to load weights, as the pool's holder."""
+
+    def __init__(
+        self,
+        gateway: str,
+        samplers: Samplers,
+        read_boot_time: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        """Begin with nothing known."""
+        self._gateway = gateway
+        self._samplers = samplers
+        self._read_boot_time = read_boot_time
+        self._metrics = metrics
+        self.assigned: dict[str, str] = {}
+        self.held: dict[tuple[str, str], int] = {}
+        self.loading: dict[str, Load] = {}
+        self._lives: dict[str, int] = {}
+        self._orders: dict[str, int] = {}
+
+    def learn(self, instances: list[ListedInstance], models: list[str]) -> None:
+        """Take over the listed instances; tells which model is whose."""
+        for instance in instances:
+            name = instance.name
+            if self._lives.get(name) != instance.started_ms:
+                self._lives[name] = instance.started_ms
+                self._orders[name] = instance.accepted_orders
+                for model, version in instance.versions.items():
+                    self.held[name, model] = version
+            for model, version in instance.versions.items():
+                known = self.held.get((name, model), 0)
+                self.held[name, model] = max(known, version)
+            known_orders = self._orders.get(name, 0)
+            self._orders[name] = max(known_orders, instance.accepted_orders)
+        self.assigned = assign_models(
+            instances, models, self.assigned, self.held
+        )
+
+    def observe(self, instance: str, model: str, version: int) -> None:
+        """Take the version that an instance itself just told."""
+        self.held[instance, model] = version
+
+    def find_version(self, instance: str, model: str) -> int:
+        """Return the newest version known of a model at an instance."""
+        return self.held.get((instance, model), const.FIRST_VERSION)
+
+    def order_loads(
+        self,
+        role: Role,
+        instances: dict[str, ListedInstance],
+        needs: dict[str, ModelNeed],
+        nursery: trio.Nursery,
+        done: Callable[[], None],
+    ) -> None:
+        """Start the loads that are due; only while the lease is held."""
+        if not role.is_valid(self._read_boot_time()):
+            return
+        chosen = choose_loads(
+            self.assigned, self.held, needs, self.loading.keys()
+        )
+        for load in chosen:
+            instance = instances.get(load.instance)
+            if instance is None:
+                continue
+            self.loading[load.instance] = load
+            nursery.start_soon(self._load, role, instance, load, done)
+
+    async def _load(
+        self,
+        role: Role,
+        instance: ListedInstance,
+        load: Load,
+        done: Callable[[], None],
+    ) -> None:
+        """Order one load and wait until it is done."""
+        try:
+            with trio.move_on_after(const.LOAD_LIMIT_S):
+                await self._order_and_wait(role, instance, load)
+        finally:
+            self.loading.pop(instance.name, None)
+            done()
+
+    async def _order_and_wait(
+        self, role: Role, instance: ListedInstance, load: Load
+    ) -> None:
+        """Order a load; follow the reports until the version is held."""
+        order = LoadOrder(
+            load.model,
+            load.version,
+            self._gateway,
+            role.fence,
+            self._orders.get(instance.name, 0),
+        )
+        if not role.is_valid(self._read_boot_time()):
+            return
+        reply = await self._samplers.order(instance, order)
+        self._metrics.count(f"orders_{reply.value}")
+        log_event(
+            "load_ordered",
+            instance=instance.name,
+            model=load.model,
+            version=load.version,
+            fence=role.fence,
+            accepted_orders=order.accepted_orders,
+            reply=reply.value,
+        )
+        match reply:
+            case OrderReply.HOLDS:
+                self.held[instance.name, load.model] = load.version
+                return
+            case OrderReply.ACCEPTED:
+                self._orders[instance.name] = order.accepted_orders + 1
+                await trio.sleep(const.REPORT_FIRST_S)
+            case OrderReply.FENCED | OrderReply.REFUSED:
+                await trio.sleep(const.ORDER_RETRY_S)
+                return
+            case OrderReply.CONFLICT | OrderReply.UNKNOWN:
+                await trio.sleep(const.ORDER_RETRY_S)
+        await self._follow(instance, load, reply is OrderReply.ACCEPTED)
+
+    async def _follow(
+        self, instance: ListedInstance, load: Load, accepted: bool
+    ) -> None:
+        """Ask an instance until it holds the version or is not busy."""
+        while True:
+            report = await self._samplers.read_report(instance)
+            if isinstance(report, Err):
+                await trio.sleep(const.REPORT_S)
+                continue
+            told = report.ok_value
+            known = self._orders.get(instance.name, 0)
+            if told.accepted_orders < known and accepted:
+                # The report is older than the order.
+                await trio.sleep(const.REPORT_S)
+                continue
+            self._orders[instance.name] = max(known, told.accepted_orders)
+            for model, version in told.versions.items():
+                self.held[instance.name, model] = version
+            if not told.busy:
+                return
+            await trio.sleep(const.REPORT_S)
