Order loads under the sampler's own count of accepted orders

Cause: the entry's sequence counts heartbeats, not orders, so that each order was refused (409). Ruled out: the fence, the version. The count now comes from the sampler's report. A new holder leaves submissions that ended before its time to the record, which lists what had been read of them.

--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -1,6 +1,7 @@
 """Support what callers and trainers ask of a gateway."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err
 from result import Ok
@@ -112,19 +113,17 @@
         limit_s = route.timeout_s
         if caller.deadline_s is not None:
             limit_s = min(limit_s, caller.deadline_s)
-        outcome = await self._forwarder.forward(
-            ForwardCall(
-                caller.id,
-                route,
-                request.method,
-                request.target,
-                request.raw_headers,
-                request.body,
-                arrived_at + max(0.0, limit_s - const.LIMIT_MARGIN_S),
-                route.max_attempts,
-            )
+        call = ForwardCall(
+            caller.id,
+            route,
+            request.method,
+            request.target,
+            request.raw_headers,
+            request.body,
+            arrived_at + max(0.0, limit_s - const.LIMIT_MARGIN_S),
+            route.max_attempts,
         )
-        match outcome:
+        match await self._forwarder.forward(call):
             case Answered(status, headers, body):
                 await exchange.send_whole(status, headers, body)
             case Failed(Fault.NOT_RUN, detail):
@@ -132,6 +131,8 @@
                 await self._refuse(exchange, caller, problem)
             case Failed(Fault.LOST, detail):
                 problem = report_unknown("answer-lost", detail)
+                if trio.current_time() >= call.give_up_at:
+                    problem = replace(problem, status=504)
                 await self._refuse(exchange, caller, problem)
 
     async def _submit(
--- a/packages/pistachiospar/src/pistachiospar/platform/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/instances.py
@@ -18,9 +18,10 @@
 
 
 class InstanceMessage(msgspec.Struct):
-    """Hold an instance's entry; `version` there is its software's.
+    """Hold an instance's entry; `born` is a Unix time in ms.
 
-    `sequence` counts accepted orders, `born` is a Unix time in ms.
+    Its `version` is its software's, its `sequence` counts its own writes;
+    neither says a thing about weights or orders, and both are left out.
     """
 
     service: str
@@ -28,7 +29,6 @@
     zone: str
     slots: int
     state: str
-    sequence: int = 0
     born: int = 0
     models: list[HeldModelMessage] = []
 
@@ -50,7 +50,6 @@
             message.zone,
             message.slots,
             message.state == "draining",
-            message.sequence,
             message.born,
             {model.name: model.version for model in message.models},
         )
--- a/packages/pistachiospar/src/pistachiospar/routing/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/instances.py
@@ -10,8 +10,8 @@
 class ListedInstance:
     """Describe one upstream instance.
 
-    `accepted_orders` counts the orders that this life of it accepted;
-    `versions` names the weights that it holds of each model.
+    `started_ms` tells its lives apart; `versions` names the weights that it
+    holds of each model.
     """
 
     name: str
@@ -20,6 +20,5 @@
     zone: str
     slots: int
     leaving: bool
-    accepted_orders: int
     started_ms: int = 0
     versions: dict[str, int] = field(default_factory=dict)
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -127,6 +127,9 @@
         if self._find_pool(submission) != self.pool:
             return True
         ended = name in self._early_ends
+        if ended and event.revision < role.fence:
+            # What earlier holders listed of it is read from the record.
+            return True
         table = self._directory.table
         route = table.find_route(submission.host, submission.path)
         state = make_state(
@@ -137,7 +140,7 @@
             (route.give_up_s if route else 0.0) + const.CLOCK_SLACK_S,
         )
         # What came after this role began has no earlier results.
-        if event.revision < role.fence and not ended:
+        if event.revision < role.fence:
             results = await self._archive.load_results(name)
             if isinstance(results, Err):
                 return False
--- a/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
@@ -46,14 +46,12 @@
             name = instance.name
             if self._lives.get(name) != instance.started_ms:
                 self._lives[name] = instance.started_ms
-                self._orders[name] = instance.accepted_orders
+                self._orders.pop(name, None)
                 for model, version in instance.versions.items():
                     self.held[name, model] = version
             for model, version in instance.versions.items():
                 known = self.held.get((name, model), 0)
                 self.held[name, model] = max(known, version)
-            known_orders = self._orders.get(name, 0)
-            self._orders[name] = max(known_orders, instance.accepted_orders)
         self.assigned = assign_models(
             instances, models, self.assigned, self.held
         )
@@ -106,12 +104,14 @@
         self, role: Role, instance: ListedInstance, load: Load
     ) -> None:
         """Order a load; follow the reports until the version is held."""
+        if instance.name not in self._orders:
+            await self._follow(instance, accepted=False)
         order = LoadOrder(
             load.model,
             load.version,
             self._gateway,
             role.fence,
-            self._orders.get(instance.name, 0),
+            self._orders[instance.name],
         )
         if not role.is_valid(self._read_boot_time()):
             return
@@ -138,12 +138,10 @@
                 return
             case OrderReply.CONFLICT | OrderReply.UNKNOWN:
                 await trio.sleep(const.ORDER_RETRY_S)
-        await self._follow(instance, load, reply is OrderReply.ACCEPTED)
+        await self._follow(instance, reply is OrderReply.ACCEPTED)
 
-    async def _follow(
-        self, instance: ListedInstance, load: Load, accepted: bool
-    ) -> None:
-        """Ask an instance until it holds the version or is not busy."""
+    async def _follow(self, instance: ListedInstance, accepted: bool) -> None:
+        """Ask an instance until it is not busy; learn what it holds."""
         while True:
             report = await self._samplers.read_report(instance)
             if isinstance(report, Err):
@@ -155,7 +153,7 @@
                 # The report is older than the order.
                 await trio.sleep(const.REPORT_S)
                 continue
-            self._orders[instance.name] = max(known, told.accepted_orders)
+            self._orders[instance.name] = told.accepted_orders
             for model, version in told.versions.items():
                 self.held[instance.name, model] = version
             if not told.busy:
