--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -128,12 +128,12 @@
             return Err(KvError(KvFault.UNKNOWN, "the lease is gone"))
         return Ok(self._store.revision)
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
         """Return a new lease's number."""
         fault = await self._enter("write")
         if fault is not None:
             return Err(fault)
-        return Ok(self._store.grant(float(ttl_s), trio.current_time()))
+        return Ok(self._store.grant(ttl_s, trio.current_time()))
 
     async def keep_lease(self, lease: int) -> Result[float, KvError]:
         """Renew a lease; return the seconds left, 0 when it lapsed."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncGenerator
 from collections.abc import Sequence
+from math import ceil
 from typing import TypeVar
 
 import msgspec
@@ -121,9 +122,9 @@
         answer = await self._call(const.PATH_PUT, request, models.PutResponse)
         return answer.map(lambda got: int(got.header.revision))
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
         """Return a new lease's number."""
-        request = models.LeaseGrantRequest(str(ttl_s))
+        request = models.LeaseGrantRequest(str(ceil(ttl_s)))
         answer = await self._call(
             const.PATH_GRANT, request, models.LeaseResponse
         )
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -6,10 +6,10 @@
 import trio
 
 from ...submissions.models import ResultPage
+from . import const
 from ..http.client import HttpPool
 from ..http.client import parse_address
 from ..http.errors import HttpError
-from . import const
 
 
 class HttpSubmissionPeer:
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from ...submissions.models import ResultPage
+from . import const
 from ..http.models import HttpRequest
 from ..http.server import Exchange
-from . import const
 
 ReadHere = Callable[[str, int, float], Awaitable[ResultPage | None]]
 
--- a/packages/pistachiospar/src/pistachiospar/directory/const.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/const.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 RETRY_FIRST_S: Final = 0.05
-RETRY_MOST_S: Final = 0.8
+RETRY_MOST_S: Final = 0.5
 # Changes that come close together are fetched by one call; a change must be
 # known well within the 2 s that the platform allows.
 GATHER_S: Final = 0.25
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -6,13 +6,13 @@
 from result import Err
 import trio
 
+from . import const
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
 from ..routing.instances import ListedInstance
 from ..routing.models import RouteTable
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 from .mirror import PrefixMirror
 from .models import DirectoryKeys
 
@@ -155,5 +155,3 @@
         """Tell the readers that something changed."""
         for listener in self._listeners:
             listener()
-
-
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -7,11 +7,11 @@
 from result import Err
 import trio
 
+from . import const
 from ..helpers.backoff import Backoff
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
 from ..telemetry.logs import log_event
-from . import const
 
 
 class PrefixMirror:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from . import const
 from ..ports.sampler import SamplerAnswer
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import Samplers
@@ -16,7 +17,6 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 from .health import choose_instance
 from .health import InstanceHealth
 from .models import Answered
@@ -217,7 +217,9 @@
         body = await answer.read()
         if answer.not_run:
             return Failed(Fault.NOT_RUN, f"{name}: status {answer.status}")
-        encoded = any(n.lower() == "content-encoding" for n, _ in answer.headers)
+        encoded = any(
+            n.lower() == "content-encoding" for n, _ in answer.headers
+        )
         if answer.status in SUCCESSES and (encoded or not answer.stamp):
             return Failed(Fault.LOST, f"{name}: not the instance's answer")
         return Answered(
@@ -225,7 +227,12 @@
         )
 
     def _note(
-        self, name: str, outcome: Outcome, took_s: float, sent: bool, now: float
+        self,
+        name: str,
+        outcome: Outcome,
+        took_s: float,
+        sent: bool,
+        now: float,
     ) -> None:
         """Note what came of an attempt."""
         match outcome:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/health.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/health.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from random import Random
 
+from . import const
 from ..helpers.backoff import Backoff
 from ..ports.sampler import InstanceLoad
 from ..routing.instances import ListedInstance
-from . import const
 
 
 @dataclass(slots=True)
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -13,6 +13,7 @@
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import Exchange
 from ..adapters.http.server import HttpServer
+from . import const
 from ..directory.coordinator import Directory
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
@@ -34,7 +35,6 @@
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..versions.coordinator import VersionCoordinator
-from . import const
 from .reload import watch_settings
 from .routes import GatewayHandler
 
@@ -71,7 +71,10 @@
         self._archive = Archive(self._kv, settings.value_bytes)
         self._pools: dict[str, PoolCoordinator] = {}
         self._reader = SubmissionReader(
-            self._archive, self._holders, self._find_state, HttpSubmissionPeer()
+            self._archive,
+            self._holders,
+            self._find_state,
+            HttpSubmissionPeer(),
         )
         handler = GatewayHandler(
             self._directory,
@@ -88,7 +91,9 @@
         self._ready_server = HttpServer(self._answer_ready)
         self._draining = False
         self._released: dict[str, int] = {}
-        self._directory.subscribe(self._apply_limits)
+        self._changed = trio.Event()
+        self._table_version = 0
+        self._directory.subscribe(self._apply_table)
 
     async def run(self) -> None:
         """Serve until told to stop, then drain."""
@@ -128,7 +133,8 @@
                 names = set(self._directory.instances)
                 self._samplers.forget(names)
                 self._health.keep_only(names)
-                await trio.sleep(const.POOL_WATCH_S)
+                with trio.move_on_after(const.POOL_WATCH_S):
+                    await self._changed.wait()
 
     async def _answer_retirements(self) -> None:
         """Release the instances to be emptied: none of them keeps a thing."""
@@ -195,11 +201,15 @@
             and not self._directory.operator.is_away(now)
         )
 
-    def _apply_limits(self) -> None:
-        """Apply what the operator allows callers."""
-        limits = self._directory.table.limits
-        if limits is None:
+    def _apply_table(self) -> None:
+        """Apply a new configuration: the pools, what callers may send."""
+        table = self._directory.table
+        limits = table.limits
+        if limits is None or table.version == self._table_version:
             return
+        self._table_version = table.version
+        self._changed.set()
+        self._changed = trio.Event()
         self._server.limits.max_head_bytes = limits.max_head_bytes
         self._server.limits.max_body_bytes = limits.max_body_bytes
         self._server.limits.read_timeout_s = limits.read_timeout_s
--- a/packages/pistachiospar/src/pistachiospar/gateway/reload.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/reload.py
@@ -6,11 +6,11 @@
 from result import Err
 import trio
 
+from . import const
 from ..platform.settings import find_settings_file
 from ..platform.settings import GatewaySettings
 from ..platform.settings import read_gateway
 from ..telemetry.logs import log_event
-from . import const
 
 
 async def watch_settings(settings: GatewaySettings) -> None:
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -10,6 +10,7 @@
 from ..adapters.http.models import Headers
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import Exchange
+from . import const
 from ..const import CONTENT_TYPE_JSON
 from ..directory.coordinator import Directory
 from ..forwarding.coordinator import Forwarder
@@ -32,13 +33,12 @@
 from ..ports.kv import KvFault
 from ..routing.models import CallKind
 from ..routing.models import Route
-from ..submissions import const as submission_const
 from ..submissions.archive import Archive
+from ..submissions.const import KEY_BYTES
 from ..submissions.keys import make_part_key
 from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 
 _JSON: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
 
@@ -147,7 +147,7 @@
             await self._refuse(exchange, caller, problem)
             return
         longest = len(make_part_key(caller.id, 0).encode())
-        if not caller.id or longest > submission_const.KEY_BYTES:
+        if not caller.id or longest > KEY_BYTES:
             problem = refuse_input("bad-id", "no usable request id")
             await self._refuse(exchange, caller, problem)
             return
@@ -236,9 +236,7 @@
             detail=problem.detail,
             configuration=self._directory.table.version,
         )
-        headers = [
-            (n, v) for n, v in problem.headers() if n != "Retry-After"
-        ]
+        headers = [(n, v) for n, v in problem.headers() if n != "Retry-After"]
         if problem.retry_after_s is not None:
             headers.append(("Retry-After", str(const.RETRY_AFTER_S)))
         await exchange.send_whole(problem.status, headers, problem.body())
--- a/packages/pistachiospar/src/pistachiospar/holding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -8,6 +8,6 @@
 # The holder stops giving orders this much before the lease may end.
 MARGIN_S: Final = 0.3
 # Candidates wait in turn, so that a vacancy costs one call, not one each.
-TURN_S: Final = 0.12
+TURN_S: Final = 0.35
 RETRY_S: Final = 0.3
 GIVE_BACK_S: Final = 0.6
--- a/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
@@ -7,11 +7,11 @@
 import msgspec
 import trio
 
+from . import const
 from ..directory.mirror import PrefixMirror
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
 from ..telemetry.logs import log_event
-from . import const
 from .lease import RoleKeeper
 from .models import HolderRecord
 from .models import Role
@@ -60,9 +60,7 @@
             await self._wait_for_vacancy(pool)
             if self._stopping:
                 return
-            role = await self._keeper.take(
-                pool, self._revisions.get(pool, 0)
-            )
+            role = await self._keeper.take(pool, self._revisions.get(pool, 0))
             if role is None:
                 await trio.sleep(const.RETRY_S * (0.5 + self._rng.random()))
                 continue
@@ -92,7 +90,7 @@
             while not self._is_vacant(pool) and not self._stopping:
                 await self._changed.wait()
             if pool not in self.holders:
-                await trio.sleep(const.TURN_S * 8 * self._rng.random())
+                await trio.sleep(const.TURN_S * self._rng.random())
             if self._is_vacant(pool):
                 return
 
@@ -161,4 +159,3 @@
         """Wake what waits for a change."""
         self._changed.set()
         self._changed = trio.Event()
-
--- a/packages/pistachiospar/src/pistachiospar/holding/lease.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/lease.py
@@ -6,13 +6,13 @@
 from result import Err
 import trio
 
+from . import const
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
 from ..ports.kv import KvFault
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..telemetry.logs import log_event
-from . import const
 from .models import HolderRecord
 from .models import Role
 
--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -12,11 +12,11 @@
 from result import Result
 
 from ..adapters.http.models import HttpRequest
+from . import const
 from ..submissions.models import Item
 from ..submissions.models import ResultPage
 from ..submissions.models import ScoreCall
 from ..submissions.models import Submission
-from . import const
 
 _LENGTH_HINT = "length-hint"
 _TOKEN_COUNTS = "token-counts"
--- a/packages/pistachiospar/src/pistachiospar/platform/directory.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/directory.py
@@ -2,8 +2,8 @@
 
 from typing import Final
 
-from ..directory.models import DirectoryKeys
 from . import const
+from ..directory.models import DirectoryKeys
 from .instances import encode_retired
 from .instances import read_instance
 from .manifest import read_named_version
--- a/packages/pistachiospar/src/pistachiospar/platform/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/instances.py
@@ -6,8 +6,8 @@
 from result import Result
 
 from ..adapters.http.client import parse_address
-from ..routing.instances import ListedInstance
 from . import const
+from ..routing.instances import ListedInstance
 
 
 class HeldModelMessage(msgspec.Struct):
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -15,6 +15,7 @@
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import HttpError
 from ..adapters.http.models import Headers
+from . import const
 from ..ports.sampler import InstanceLoad
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import OrderReply
@@ -24,7 +25,6 @@
 from ..ports.upstream import UpstreamError
 from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
-from . import const
 from .instances import HeldModelMessage
 
 # A path within a region takes 1 ms; a packet sent again takes a second.
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -17,6 +17,7 @@
 from ..adapters.http.client import HttpPool
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import HttpError
+from . import const
 from ..ports.kv import KvCheck
 from ..ports.kv import KvError
 from ..ports.kv import KvEvent
@@ -25,7 +26,6 @@
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..ports.kv import KvWrite
-from . import const
 
 Message = TypeVar("Message")
 
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -120,7 +120,7 @@
     ) -> Result[int, KvError]:
         """Write without condition; return the store's revision."""
 
-    async def grant_lease(self, ttl_s: int) -> Result[int, KvError]:
+    async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
         """Return a new lease's number."""
 
     async def keep_lease(self, lease: int) -> Result[float, KvError]:
--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -5,13 +5,13 @@
 from result import Ok
 from result import Result
 
+from . import const
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
 from ..ports.kv import KvError
 from ..ports.kv import KvFault
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
-from . import const
 from .keys import make_end_key
 from .keys import make_part_key
 from .keys import make_results_prefix
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -6,6 +6,7 @@
 from result import Err
 import trio
 
+from . import const
 from ..holding.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
@@ -13,7 +14,6 @@
 from ..ports.kv import KvTransaction
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 from .archive import Archive
 from .archive import encode_results
 from .board import Board
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -6,6 +6,7 @@
 from result import Err
 import trio
 
+from . import const
 from ..directory.coordinator import Directory
 from ..directory.mirror import PrefixMirror
 from ..holding.models import Role
@@ -16,7 +17,6 @@
 from ..telemetry.metrics import Metrics
 from ..versions.coordinator import VersionCoordinator
 from ..versions.decisions import ModelNeed
-from . import const
 from .archive import Archive
 from .board import Board
 from .board import ItemState
@@ -147,6 +147,9 @@
             state.list_results(results.ok_value)
         state.ended = ended or name in self._early_ends
         self.board.submissions[name] = state
+        self._versions.demand.note_submission(
+            submission.model, len(state.items)
+        )
         log_event(
             "submission_loaded",
             submission=name,
@@ -177,8 +180,13 @@
             models = list(policy.models) if policy else []
             self._versions.learn(list(instances.values()), models)
             self._start_items(instances, now, nursery)
+            free = {
+                name: instance.slots - self._in_flight.get(name, 0)
+                for name, instance in instances.items()
+            }
+            needs = self._find_needs(models)
             self._versions.order_loads(
-                role, instances, self._find_needs(models), nursery, self._wake
+                role, instances, needs, free, nursery, self._wake
             )
             with trio.move_on_after(const.RETRY_S):
                 await woken.wait()
@@ -259,12 +267,11 @@
                 for state in states
                 if state.phase is Phase.RUNNING
             )
-            waiting = any(s.phase is Phase.WAITING for s in states)
-            required = max(
-                (s.submission.min_version for s in mine), default=0
-            )
+            waiting = sum(s.phase is Phase.WAITING for s in states)
+            item_s = self._versions.demand.find(model).item_s
+            required = max((s.submission.min_version for s in mine), default=0)
             named = self._directory.named_versions.get(model, 1)
-            needs[model] = ModelNeed(named, required, waiting, busy)
+            needs[model] = ModelNeed(named, required, waiting * item_s, busy)
         return needs
 
     async def _run_item(
@@ -286,6 +293,10 @@
             if seated:
                 seated = False
                 self._in_flight[instance.name] -= 1
+                self._versions.demand.note_item(
+                    submission.submission.model,
+                    trio.current_time() - state.began_at,
+                )
                 self.board.wake()
 
         with state.scope:
--- a/packages/pistachiospar/src/pistachiospar/submissions/keys.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/keys.py
@@ -38,7 +38,7 @@
 
 def read_submission_key(key: str) -> tuple[str, str]:
     """Return the submission's id and what follows it, if anything."""
-    name, slash, rest = key.removeprefix(
-        const.PREFIX_SUBMISSIONS
-    ).partition("/")
+    name, slash, rest = key.removeprefix(const.PREFIX_SUBMISSIONS).partition(
+        "/"
+    )
     return unquote(name), slash + rest
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -3,8 +3,8 @@
 The pool's holder answers from memory; else the durable record does.
 """
 
-from collections import OrderedDict
 from collections.abc import Callable
+from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -13,10 +13,10 @@
 from result import Result
 import trio
 
+from . import const
 from ..holding.coordinator import HolderCoordinator
 from ..ports.kv import KvError
 from ..ports.submissions import SubmissionPeer
-from . import const
 from .archive import Archive
 from .board import SubmissionState
 from .models import ResultPage
@@ -79,9 +79,17 @@
             page = await self._ask_holders(submission, after, wait_s)
         if page is not None:
             return Ok(page)
+        return await self._read_record(submission, after)
+
+    async def _read_record(
+        self, submission: str, after: int
+    ) -> Result[ResultPage | None, KvError]:
+        """Return results from the durable record."""
         known = await self._load(submission)
-        if isinstance(known, Err) or known.ok_value is None:
+        if isinstance(known, Err):
             return known
+        if known.ok_value is None:
+            return Ok(None)
         cached = known.ok_value
         if len(cached.results) <= after:
             results = await self._archive.load_results(submission)
@@ -100,8 +108,10 @@
         if body is not None:
             return Ok(body)
         known = await self._load(submission)
-        if isinstance(known, Err) or known.ok_value is None:
+        if isinstance(known, Err):
             return known
+        if known.ok_value is None:
+            return Ok(None)
         for found in known.ok_value.submission.items:
             if found.id == item:
                 return Ok(found.body)
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from . import const
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.models import Answered
 from ..forwarding.models import Failed
@@ -19,7 +20,6 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 from .board import ItemState
 from .board import Phase
 from .board import SubmissionState
@@ -282,9 +282,7 @@
                     if state.score_errors >= route.max_attempts:
                         return None
                 case Failed(detail=detail):
-                    log_event(
-                        "score_lost", item=state.item.id, detail=detail
-                    )
+                    log_event("score_lost", item=state.item.id, detail=detail)
             await trio.sleep(const.RETRY_S)
 
 
@@ -298,4 +296,3 @@
         score_errors=state.score_errors,
     )
     return SampleResult(state.item.id, False, "", [], "")
-
--- a/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
@@ -1,10 +1,12 @@
 """Support keeping the weights of a pool's instances up to date."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 
 from result import Err
 import trio
 
+from . import const
 from ..holding.models import Role
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import OrderReply
@@ -12,11 +14,11 @@
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from . import const
 from .decisions import assign_models
 from .decisions import choose_loads
 from .decisions import Load
 from .decisions import ModelNeed
+from .demand import DemandBook
 
 
 class VersionCoordinator:
@@ -37,10 +39,13 @@
         self.assigned: dict[str, str] = {}
         self.held: dict[tuple[str, str], int] = {}
         self.loading: dict[str, Load] = {}
+        self.demand = DemandBook()
         self._lives: dict[str, int] = {}
         self._orders: dict[str, int] = {}
 
-    def learn(self, instances: list[ListedInstance], models: list[str]) -> None:
+    def learn(
+        self, instances: list[ListedInstance], models: Sequence[str]
+    ) -> None:
         """Take over the listed instances; tells which model is whose."""
         for instance in instances:
             name = instance.name
@@ -52,8 +57,9 @@
             for model, version in instance.versions.items():
                 known = self.held.get((name, model), 0)
                 self.held[name, model] = max(known, version)
+        weights = {model: self.demand.weigh(model) for model in models}
         self.assigned = assign_models(
-            instances, models, self.assigned, self.held
+            instances, weights, self.assigned, self.held
         )
 
     def observe(self, instance: str, model: str, version: int) -> None:
@@ -69,15 +75,15 @@
         role: Role,
         instances: dict[str, ListedInstance],
         needs: dict[str, ModelNeed],
+        free: dict[str, int],
         nursery: trio.Nursery,
         done: Callable[[], None],
     ) -> None:
         """Start the loads that are due; only while the lease is held."""
         if not role.is_valid(self._read_boot_time()):
             return
-        chosen = choose_loads(
-            self.assigned, self.held, needs, self.loading.keys()
-        )
+        loading = {n: load.model for n, load in self.loading.items()}
+        chosen = choose_loads(self.assigned, self.held, needs, loading, free)
         for load in chosen:
             instance = instances.get(load.instance)
             if instance is None:
