Keep what is generated in checkpoints, go on from stored text

Ruled out: capacity (at most 40 of 40 places for 2 s), the committer (50 ms). A move to the same slow sampler, seen in the first try, is gone: it counts as avoided for that item.

--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -27,6 +27,7 @@
     def __init__(self, kv: KeyValue, value_bytes: int) -> None:
         """Take the service and the largest value it holds, in bytes."""
         self.kv = kv
+        self.value_bytes = value_bytes
         # Room for the encoding that carries a value.
         self._part_bytes = value_bytes * 2 // 3
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/board.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/board.py
@@ -25,7 +25,8 @@
 class ItemState:
     """Hold how far an item is, and what was generated of it.
 
-    `last_event` is the number of the last whole event, 0 for none.
+    `last_event` is the number of the last whole event, 0 for none; `whole`
+    tells that it is the text's last one.
     """
 
     item: Item
@@ -39,13 +40,16 @@
     began_at: float = 0.0
     not_before: float = 0.0
     avoided: str = ""
+    failed: bool = False
+    whole: bool = False
     scope: trio.CancelScope | None = None
 
     def restart(self) -> None:
         """Forget what was generated."""
-        self.events.clear()
-        self.versions.clear()
+        self.events = []
+        self.versions = []
         self.last_event = 0
+        self.whole = False
 
 
 @dataclass(slots=True)
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -6,6 +6,7 @@
 
 PREFIX_SUBMISSIONS: Final = "ps/s/"
 PREFIX_RESULTS: Final = "ps/r/"
+PREFIX_PROGRESS: Final = "ps/p/"
 SUFFIX_END: Final = "/end"
 KEY_BYTES: Final = 200
 # Parts of a submission's record; a transaction takes 32 rows.
@@ -18,11 +19,22 @@
 COMMIT_ROWS: Final = 12
 COMMIT_BYTES: Final = MEBIBYTE // 2
 COMMIT_RETRY_S: Final = 0.15
+# What a lost holder's successor has to generate again, at most.
+CHECKPOINT_S: Final = 1.0
 
 # A sampler makes an event each 35 to 150 ms; one that says nothing for so
 # long has lost the stream, or its place.
 STALL_S: Final = 1.2
 FIRST_EVENT_S: Final = 2.0
+# Weight of the newest gap between events in an instance's mean.
+PACE_WEIGHT: Final = 0.05
+# An instance not heard for so long counts as fast as the others again.
+PACE_AGE_S: Final = 3.0
+PACE_FIRST_S: Final = 0.04
+# A stream moves to a free place that is this much faster; what it has goes
+# along, and reading it again takes some ms.
+MOVE_RATIO: Final = 1.7
+MOVE_AFTER_S: Final = 0.4
 ITEM_TIME_S: Final = 30.0
 RETRY_S: Final = 0.1
 AVOID_S: Final = 0.5
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -23,11 +23,16 @@
 from .board import make_state
 from .board import Phase
 from .board import SubmissionState
+from .checkpoints import adopt_progress
+from .checkpoints import CheckpointKeeper
+from .checkpoints import make_progress
+from .checkpoints import Progress
 from .commits import ResultCommitter
 from .keys import read_submission_key
 from .models import Submission
 from .runner import give_up
 from .runner import ItemRunner
+from .scheduling import choose_moves
 from .scheduling import choose_seat
 from .scheduling import order_items
 from .scheduling import Seat
@@ -62,6 +67,10 @@
         self._committer = ResultCommitter(
             kv, archive, self.board, trio.current_time, metrics, rng
         )
+        self._checkpoints = CheckpointKeeper(
+            pool, kv, self.board, archive.value_bytes, metrics
+        )
+        self._kept: dict[str, Progress] = {}
         self._in_flight: dict[str, int] = {}
         self._seat_avoided: dict[str, float] = {}
         self._group_seats: dict[tuple[str, str], str] = {}
@@ -80,6 +89,7 @@
                 nursery.start_soon(mirror.run)
                 nursery.start_soon(self._load_submissions, receive, role)
                 nursery.start_soon(self._committer.run, role)
+                nursery.start_soon(self._checkpoints.run, role)
                 nursery.start_soon(self._schedule, role, nursery)
         finally:
             self._loads = None
@@ -88,8 +98,9 @@
             self._versions.loading.clear()
 
     async def flush(self, role: Role) -> None:
-        """Make durable what is finished, before the role is given back."""
+        """Make durable what there is, before the role is given back."""
         await self._committer.flush(role)
+        await self._checkpoints.write(role)
 
     def _take_event(self, event: KvEvent) -> None:
         """Take over a submission, or its end."""
@@ -110,6 +121,9 @@
         self, events: trio.MemoryReceiveChannel[KvEvent], role: Role
     ) -> None:
         """Load submissions as they come; one task."""
+        while (kept := await self._checkpoints.load()) is None:
+            await trio.sleep(const.RETRY_S)
+        self._kept = kept
         async for event in events:
             submission, _ = read_submission_key(event.key)
             if submission in self.board.submissions:
@@ -146,6 +160,7 @@
                 return False
             state.list_results(results.ok_value)
         state.ended = ended or name in self._early_ends
+        self._adopt(state)
         self.board.submissions[name] = state
         self._versions.demand.note_submission(
             submission.model, len(state.items)
@@ -162,6 +177,19 @@
         self.board.wake()
         return True
 
+    def _adopt(self, submission: SubmissionState) -> None:
+        """Go on from what is stored of the items, under whichever step."""
+        min_version = submission.submission.min_version
+        for state in submission.items.values():
+            progress = self._kept.pop(state.item.id, None)
+            for other in self.board.submissions.values():
+                known = other.items.get(state.item.id)
+                if known is not None and known.events:
+                    progress = make_progress(known)
+            if progress is not None and state.phase is Phase.WAITING:
+                if adopt_progress(state, progress, min_version):
+                    self._metrics.count("items_adopted")
+
     def _find_pool(self, submission: Submission) -> str:
         """Return the pool that holds a submission's model."""
         for upstream in self._directory.table.find_pools():
@@ -179,7 +207,8 @@
             policy = self._directory.table.upstreams.get(self.pool)
             models = list(policy.models) if policy else []
             self._versions.learn(list(instances.values()), models)
-            self._start_items(instances, now, nursery)
+            if not self._start_items(instances, now, nursery):
+                self._move_items(instances, now)
             free = {
                 name: instance.slots - self._in_flight.get(name, 0)
                 for name, instance in instances.items()
@@ -205,8 +234,9 @@
         instances: dict[str, ListedInstance],
         now: float,
         nursery: trio.Nursery,
-    ) -> None:
-        """Start waiting items where there is room."""
+    ) -> bool:
+        """Start waiting items where there is room; tell if some wait on."""
+        waits = False
         for submission, state in order_items(self.board.list_open(), now):
             if now >= submission.give_up_at:
                 self._give_up(submission, state, now)
@@ -220,7 +250,18 @@
                 state.avoided,
             )
             if seat is None:
+                waits = True
                 continue
+            log_event(
+                "item_started",
+                item=state.item.id,
+                submission=submission.submission.id,
+                instance=seat.instance,
+                version=seat.version,
+                free=seat.free,
+                pace_s=round(seat.pace_s, 4),
+                events=state.last_event,
+            )
             self._group_seats[group] = seat.instance
             state.phase = Phase.RUNNING
             state.instance = seat.instance
@@ -231,6 +272,36 @@
             nursery.start_soon(
                 self._run_item, submission, state, instances[seat.instance]
             )
+        return waits
+
+    def _move_items(
+        self, instances: dict[str, ListedInstance], now: float
+    ) -> None:
+        """Move streams from slow instances to faster ones with room."""
+        for submission in self.board.list_open():
+            states = submission.items.values()
+            running = [s for s in states if s.phase is Phase.RUNNING]
+            model = submission.submission.model
+            moves = choose_moves(
+                running,
+                self._list_seats(instances, model, now),
+                submission.submission.min_version,
+                now,
+            )
+            for state in moves:
+                log_event(
+                    "item_moved",
+                    item=state.item.id,
+                    instance=state.instance,
+                    events=state.last_event,
+                    pace_s=round(
+                        self._runner.paces.find(state.instance, now), 4
+                    ),
+                )
+                self._metrics.count("item_moves")
+                state.avoided = state.instance
+                if state.scope is not None:
+                    state.scope.cancel()
 
     def _list_seats(
         self, instances: dict[str, ListedInstance], model: str, now: float
@@ -248,7 +319,7 @@
                     versions.find_version(name, model),
                     instance.slots - self._in_flight.get(name, 0),
                     max(1, instance.slots),
-                    self._runner.paces.find(name),
+                    self._runner.paces.find(name, now),
                     now < self._seat_avoided.get(name, 0.0),
                     versions.assigned.get(name) == model,
                 )
@@ -312,7 +383,8 @@
         if submission.ended:
             return
         if result is None:
-            if state.avoided == instance.name:
+            if state.failed:
+                state.failed = False
                 self._seat_avoided[instance.name] = now + const.AVOID_S
             state.phase = Phase.WAITING
             state.instance = ""
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -1,7 +1,6 @@
 """Support running one item: its stream, its way on, its scoring call."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import trio
 
@@ -15,7 +14,6 @@
 from ..ports.sampler import Samplers
 from ..ports.sampler import StreamEvent
 from ..ports.upstream import UpstreamError
-from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
 from ..routing.models import Route
 from ..telemetry.logs import log_event
@@ -41,22 +39,28 @@
         self.restart = restart
 
 
-@dataclass(slots=True)
 class PaceBook:
     """Hold the mean time between events of each instance, in seconds."""
 
-    paces: dict[str, float]
+    def __init__(self) -> None:
+        """Begin with nothing seen."""
+        self._paces: dict[str, tuple[float, float]] = {}
 
-    def note(self, instance: str, gap_s: float) -> None:
-        """Take the mean gap of one stream."""
-        known = self.paces.get(instance, gap_s)
-        self.paces[instance] = known + 0.3 * (gap_s - known)
+    def note(self, instance: str, gap_s: float, now: float) -> None:
+        """Take the gap between two events of a stream."""
+        known, _ = self._paces.get(instance, (gap_s, now))
+        weight = const.PACE_WEIGHT
+        self._paces[instance] = (known + weight * (gap_s - known), now)
 
-    def find(self, instance: str) -> float:
-        """Return an instance's pace; that of the others when unknown."""
-        if instance in self.paces:
-            return self.paces[instance]
-        return min(self.paces.values(), default=0.04)
+    def find(self, instance: str, now: float) -> float:
+        """Return an instance's pace; the best one when it is not known."""
+        known = self._paces.get(instance)
+        if known is not None and now - known[1] < const.PACE_AGE_S:
+            return known[0]
+        return min(
+            (pace for pace, _ in self._paces.values()),
+            default=const.PACE_FIRST_S,
+        )
 
 
 class ItemRunner:
@@ -77,7 +81,7 @@
         self._observe = observe
         self._metrics = metrics
         self._scoring = trio.CapacityLimiter(const.SCORES_AT_ONCE)
-        self.paces = PaceBook({})
+        self.paces = PaceBook()
 
     async def run(
         self,
@@ -93,19 +97,19 @@
         """
         detail = ""
         try:
-            whole = await self._stream(submission, state, instance, route)
-        except UpstreamNotSentError as error:
-            whole, detail = False, str(error)
-            state.avoided = instance.name
+            if not state.whole:
+                state.whole = await self._stream(
+                    submission, state, instance, route
+                )
         except UpstreamError as error:
-            whole, detail = False, str(error)
-            state.avoided = instance.name
+            detail = str(error)
         except StreamError as error:
-            whole, detail = False, str(error)
-            state.avoided = instance.name
+            detail = str(error)
             if error.restart:
                 state.restart()
         if detail:
+            state.avoided = instance.name
+            state.failed = True
             self._metrics.count("item_attempts_lost")
             log_event(
                 "item_attempt_lost",
@@ -117,10 +121,23 @@
             )
         if state.errors >= route.max_attempts:
             return give_up(state, "errors")
-        if not whole:
+        if not state.whole:
             return None
         leave()
-        return await self._finish(submission, state)
+        streamed_at = trio.current_time()
+        result = await self._finish(submission, state)
+        now = trio.current_time()
+        log_event(
+            "item_finished",
+            item=state.item.id,
+            submission=submission.submission.id,
+            instance=instance.name,
+            events=state.last_event,
+            versions=state.versions,
+            streamed_s=round(streamed_at - state.began_at, 3),
+            scored_s=round(now - streamed_at, 3),
+        )
+        return result
 
     async def _stream(
         self,
@@ -198,22 +215,18 @@
     ) -> None:
         """Take over the events of a stream, each once and in order."""
         version = answer.version or 0
-        began_at = trio.current_time()
-        before = state.last_event
+        last_at: float | None = None
         async for event in answer.events():
             now = trio.current_time()
             silence.deadline = now + const.STALL_S
-            if event.number == before + 1 == state.last_event + 1:
-                began_at = now
+            if last_at is not None:
+                self.paces.note(instance.name, now - last_at, now)
+            last_at = now
             if event.version is not None and event.version != version:
                 version = event.version
                 model = submission.submission.model
                 self._observe(instance.name, model, version)
             self._take_event(state, event, version)
-        count = state.last_event - before
-        if count > 1:
-            gap_s = (trio.current_time() - began_at) / (count - 1)
-            self.paces.note(instance.name, gap_s)
 
     def _take_event(
         self, state: ItemState, event: StreamEvent, version: int
--- a/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from . import const
 from .board import ItemState
 from .board import Phase
 from .board import SubmissionState
@@ -57,14 +58,17 @@
     The group's instance has read its prompt already. Else the instance
     whose events would come fastest.
     """
+    usable = [s for s in seats if s.version >= min_version and s.free > 0]
+    if not usable:
+        return None
     best: Seat | None = None
     best_cost: tuple[float, ...] = ()
-    for seat in seats:
-        if seat.version < min_version or seat.free <= 0:
-            continue
+    slow_s = const.MOVE_RATIO * min(seat.pace_s for seat in usable)
+    for seat in usable:
         busy = 1.0 - seat.free / seat.slots
         cost = (
             float(seat.avoided or seat.instance == avoided),
+            float(seat.pace_s > slow_s),
             float(not seat.assigned),
             seat.pace_s * (1.0 + 0.3 * busy)
             - 0.25 * seat.pace_s * (seat.instance == group_instance),
@@ -73,3 +77,34 @@
         if best is None or cost < best_cost:
             best, best_cost = seat, cost
     return best
+
+
+def choose_moves(
+    running: Iterable[ItemState],
+    seats: Iterable[Seat],
+    min_version: int,
+    now: float,
+) -> list[ItemState]:
+    """Return the running items that a free place would finish much sooner.
+
+    Meant for when nothing waits; no more items than there are such places.
+    """
+    known = {seat.instance: seat for seat in seats}
+    usable = [
+        seat
+        for seat in known.values()
+        if seat.version >= min_version and not seat.avoided
+    ]
+    places = {seat.instance: seat.free for seat in usable}
+    moves: list[ItemState] = []
+    for state in running:
+        here = known.get(state.instance)
+        if here is None or now - state.began_at < const.MOVE_AFTER_S:
+            continue
+        for seat in usable:
+            faster = here.pace_s > const.MOVE_RATIO * seat.pace_s
+            if faster and places[seat.instance] > 0:
+                places[seat.instance] -= 1
+                moves.append(state)
+                break
+    return moves
