Call the store through a peer while it turns this gateway away

Ruled out: a longer lease (a dead holder would be missed longer). A call that certainly had no effect, only reads, or can win only once goes to a peer; the service itself is asked again after a second.

--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+from ...storing.calls import make_call
+from ...storing.calls import PollingKeyValue
+from ...storing.messages import KvCall
 from ...submissions.models import ResultPage
 from . import const
 from ..http.models import HttpRequest
@@ -17,12 +20,18 @@
 class GatewayPeerHandler:
     """Answer other gateways from the memory of this one."""
 
-    def __init__(self, read_here: ReadHere) -> None:
-        """Take the way to the results held here."""
+    def __init__(self, read_here: ReadHere, kv: PollingKeyValue) -> None:
+        """Take the results held here and the key-value service."""
         self._read_here = read_here
+        self._kv = kv
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one call."""
+        if request.path == const.PATH_KV:
+            call = msgspec.msgpack.decode(request.body, type=KvCall)
+            reply = await make_call(self._kv, call)
+            await exchange.send_whole(200, [], msgspec.msgpack.encode(reply))
+            return
         if not request.path.startswith(const.PATH_RESULTS):
             await exchange.send_whole(404, [], b"")
             return
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -57,6 +57,15 @@
         """Return whether a configuration is in force."""
         return self.table.version > 0
 
+    async def wait_until_known(self, most_s: float) -> bool:
+        """Wait for a configuration and the instances; tell if they came."""
+        if self.is_known() and self.listing.synced.is_set():
+            return True
+        with trio.move_on_after(most_s):
+            await self.listing.synced.wait()
+            await self.operator.synced.wait()
+        return self.is_known()
+
     def find_instances(
         self, upstream: str, now: float
     ) -> list[ListedInstance]:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -42,6 +42,12 @@
     maybe_run: bool = False
     spare: Answered | None = None
     detail: str = "no instance"
+    scopes: list[trio.CancelScope] = field(default_factory=list)
+
+    def end_by(self, at: float) -> None:
+        """End the attempts that still run at a time, in seconds."""
+        for scope in self.scopes:
+            scope.deadline = at
 
 
 class Forwarder:
@@ -63,16 +69,35 @@
         self._health = health
         self._metrics = metrics
         self._rng = rng
+        self._nursery: trio.Nursery | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Hold the attempts, those too that nobody waits for any more."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
 
     async def forward(self, call: ForwardCall) -> Outcome:
-        """Return the answer, or say whether the call may have run."""
-        send, receive = trio.open_memory_channel[Outcome](16)
+        """Return the answer, or say whether the call may have run.
+
+        Attempts that lost go on for the time that their instance has: it
+        ends by itself, and a connection cut instead would be dear.
+        """
+        send, receive = trio.open_memory_channel[Outcome](64)
         race = Race(call, send)
         outcome: Outcome | None = None
-        with trio.move_on_at(call.give_up_at):
-            async with trio.open_nursery() as nursery:
-                outcome = await self._run(race, receive, nursery)
-                nursery.cancel_scope.cancel()
+        try:
+            with trio.move_on_at(call.give_up_at):
+                outcome = await self._run(race, receive)
+        except trio.Cancelled:
+            race.end_by(float("-inf"))
+            raise
+        race.end_by(call.give_up_at + const.LINGER_S)
         if outcome is not None:
             return outcome
         if race.spare is not None:
@@ -103,13 +128,12 @@
         self,
         race: Race,
         receive: trio.MemoryReceiveChannel[Outcome],
-        nursery: trio.Nursery,
     ) -> Outcome | None:
         """Start attempts until one brings an answer, or none may start."""
         call = race.call
         while True:
             if race.running == 0 or self._may_hedge(race):
-                started = self._start(race, nursery)
+                started = self._start(race)
                 if not started and race.running == 0:
                     if race.started >= call.max_attempts:
                         return race.spare
@@ -160,7 +184,7 @@
             return await receive.receive()
         return None
 
-    def _start(self, race: Race, nursery: trio.Nursery) -> bool:
+    def _start(self, race: Race) -> bool:
         """Start one attempt; False when there is no instance for it."""
         if race.started >= race.call.max_attempts:
             return False
@@ -173,13 +197,20 @@
         race.tried.add(instance.name)
         race.started += 1
         race.running += 1
-        nursery.start_soon(self._attempt, race, instance)
+        assert self._nursery is not None, "run() is not running"
+        scope = trio.CancelScope()
+        race.scopes.append(scope)
+        self._nursery.start_soon(self._attempt, race, instance, scope)
         return True
 
-    async def _attempt(self, race: Race, instance: ListedInstance) -> None:
+    async def _attempt(
+        self, race: Race, instance: ListedInstance, scope: trio.CancelScope
+    ) -> None:
         """Try one instance and report what came of it."""
-        outcome = await self._try(race, instance)
-        await race.send.send(outcome)
+        outcome: Outcome = Failed(Fault.LOST, "given up")
+        with scope:
+            outcome = await self._try(race, instance)
+        race.send.send_nowait(outcome)
 
     async def _try(self, race: Race, instance: ListedInstance) -> Outcome:
         """Try one instance."""
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -15,3 +15,5 @@
 POOL_WATCH_S: Final = 1.0
 DESCRIPTOR_RESERVE: Final = 264
 GC_THRESHOLD: Final = 50_000
+# A gateway that starts knows its configuration within some 10 ms.
+STARTING_S: Final = 0.4
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -8,7 +8,7 @@
 from result import Ok
 import trio
 
-from ..adapters.gateway_peer.client import HttpSubmissionPeer
+from ..adapters.gateway_peer.client import HttpGatewayPeer
 from ..adapters.gateway_peer.server import GatewayPeerHandler
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import Exchange
@@ -27,6 +27,7 @@
 from ..platform.store import PlatformKeyValue
 from ..process.listening import serve_http
 from ..process.listening import wait_for_stop
+from ..storing.relayed import RelayedKeyValue
 from ..submissions.archive import Archive
 from ..submissions.board import SubmissionState
 from ..submissions.coordinator import PoolCoordinator
@@ -47,7 +48,15 @@
         self._settings = settings
         self._rng = Random()
         self.metrics = Metrics()
-        self._kv = PlatformKeyValue(settings.store)
+        self._peer = HttpGatewayPeer()
+        direct = PlatformKeyValue(settings.store)
+        self._kv = RelayedKeyValue(
+            direct,
+            self._peer,
+            lambda: self._holders.list_peers(),
+            self.metrics,
+            self._rng,
+        )
         self._samplers = PlatformSamplers()
         self._directory = Directory(
             self._kv, PLATFORM_KEYS, self.metrics, self._rng
@@ -74,7 +83,7 @@
             self._archive,
             self._holders,
             self._find_state,
-            HttpSubmissionPeer(),
+            self._peer,
         )
         handler = GatewayHandler(
             self._directory,
@@ -86,7 +95,7 @@
         )
         self._server = HttpServer(handler.handle)
         self._peer_server = HttpServer(
-            GatewayPeerHandler(self._reader.read_here).handle
+            GatewayPeerHandler(self._reader.read_here, direct).handle
         )
         self._ready_server = HttpServer(self._answer_ready)
         self._draining = False
@@ -106,6 +115,7 @@
                 await nursery.start(
                     serve_http, self._ready_server, settings.ready
                 )
+            await nursery.start(self._forwarder.run)
             await nursery.start(serve_http, self._peer_server, settings.peer)
             if settings.listen is not None:
                 await nursery.start(serve_http, self._server, settings.listen)
--- a/packages/pistachiospar/src/pistachiospar/holding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -2,7 +2,10 @@
 
 from typing import Final
 
-PREFIX_HOLDERS: Final = "ps/h/"
+# One watch tells the holders of pools and the addresses of gateways.
+PREFIX_GATEWAYS: Final = "ps/g/"
+PREFIX_HOLDERS: Final = "ps/g/holder/"
+PREFIX_MEMBERS: Final = "ps/g/member/"
 # Renewed three times within its length, so that one lost call is no loss.
 RENEW_SHARE: Final = 0.3
 # The holder stops giving orders this much before the lease may end.
--- a/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
@@ -30,6 +30,7 @@
         rng: Random,
     ) -> None:
         """Begin with nothing known."""
+        self._kv = kv
         self._record = record
         self._keeper = keeper
         self._rng = rng
@@ -39,12 +40,30 @@
         self._changed = trio.Event()
         self._stopping = False
         self.mirror = PrefixMirror(
-            kv, const.PREFIX_HOLDERS, self._take_event, rng
+            kv, const.PREFIX_GATEWAYS, self._take_event, rng
         )
+        self._members: dict[str, HolderRecord] = {}
 
     async def run(self) -> None:
-        """Follow the holders; one task."""
-        await self.mirror.run()
+        """Follow the holders and tell this gateway's address."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.mirror.run)
+            nursery.start_soon(self._register)
+
+    def list_peers(self) -> list[str]:
+        """Return the addresses of the other gateways."""
+        return [
+            record.peer
+            for record in self._members.values()
+            if record.gateway != self._record.gateway
+        ]
+
+    async def _register(self) -> None:
+        """Write this gateway's address for its peers."""
+        key = const.PREFIX_MEMBERS + self._record.gateway
+        value = msgspec.json.encode(self._record)
+        while (await self._kv.put_item(key, value)).is_err():
+            await trio.sleep(const.RETRY_S)
 
     def find_peer(self, pool: str) -> HolderRecord | None:
         """Return the gateway that holds a pool, unless it is this one."""
@@ -78,10 +97,10 @@
         record = self.holders.get(pool)
         if record is None:
             return True
-        # Its own earlier life is certainly over.
+        # Its own earlier life is certainly over; so is a taking whose reply
+        # was lost.
         return (
-            record.gateway == self._record.gateway
-            and record.life != self._record.life
+            record.gateway == self._record.gateway and pool not in self.roles
         )
 
     async def _wait_for_vacancy(self, pool: str) -> None:
@@ -136,6 +155,9 @@
 
     def _take_event(self, event: KvEvent) -> None:
         """Take over a holder that came or went."""
+        if event.key.startswith(const.PREFIX_MEMBERS):
+            self._take_member(event)
+            return
         pool = event.key.removeprefix(const.PREFIX_HOLDERS)
         if event.value is None:
             self.holders.pop(pool, None)
@@ -155,6 +177,15 @@
         )
         self._tell()
 
+    def _take_member(self, event: KvEvent) -> None:
+        """Take over a gateway's address."""
+        name = event.key.removeprefix(const.PREFIX_MEMBERS)
+        if event.value is None:
+            self._members.pop(name, None)
+        else:
+            record = msgspec.json.decode(event.value, type=HolderRecord)
+            self._members[name] = record
+
     def _tell(self) -> None:
         """Wake what waits for a change."""
         self._changed.set()
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -220,26 +220,38 @@
         answer = await self._call("DELETE", path, b"", {404})
         return answer.map(lambda _: None)
 
+    async def poll(
+        self, prefix: str, after: int
+    ) -> Result[tuple[list[KvEvent], int], KvError]:
+        """Return the changes after a revision, and where to go on."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "waitMs": str(const.WATCH_WAIT_MS),
+        }
+        timeout_s = const.WATCH_WAIT_MS / 1000 + const.WATCH_SLACK_S
+        answer = await self._get(
+            const.PATH_WATCH, query, WatchAnswer, timeout_s
+        )
+        return answer.map(
+            lambda got: (
+                [_read_event(event) for event in got.events],
+                max(after, got.storeRevision),
+            )
+        )
+
     async def watch(
         self, prefix: str, from_revision: int
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on; the first Err is the last."""
         after = from_revision - 1
         while True:
-            query = {
-                "prefix": prefix,
-                "after": str(after),
-                "waitMs": str(const.WATCH_WAIT_MS),
-            }
-            timeout_s = const.WATCH_WAIT_MS / 1000 + const.WATCH_SLACK_S
-            answer = await self._get(
-                const.PATH_WATCH, query, WatchAnswer, timeout_s
-            )
+            answer = await self.poll(prefix, after)
             if isinstance(answer, Err):
                 yield answer
                 return
-            after = max(after, answer.ok_value.storeRevision)
-            yield Ok([_read_event(e) for e in answer.ok_value.events])
+            events, after = answer.ok_value
+            yield Ok(events)
 
     async def _get(
         self,
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/storing/relayed.py
@@ -0,0 +1,190 @@
+"""Support a key-value port that goes through a peer when turned away.
+
+The platform's service at times refuses some instances and serves others.
+"""
+
+from collections.abc import AsyncGenerator
+from collections.abc import Callable
+from collections.abc import Sequence
+from random import Random
+
+from result import Err
+from result import Ok
+from result import Result
+import trio
+
+from . import const
+from . import messages
+from ..ports.kv import KvCheck
+from ..ports.kv import KvError
+from ..ports.kv import KvEvent
+from ..ports.kv import KvFault
+from ..ports.kv import KvItem
+from ..ports.kv import KvPut
+from ..ports.kv import KvTransaction
+from ..ports.kv import KvWrite
+from ..ports.peer_kv import PeerKeyValue
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from .calls import Changes
+from .calls import make_call
+from .calls import PollingKeyValue
+
+
+class RelayedKeyValue:
+    """Call the service, or have a peer call it."""
+
+    def __init__(
+        self,
+        direct: PollingKeyValue,
+        peer: PeerKeyValue,
+        list_peers: Callable[[], list[str]],
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Begin with the service itself."""
+        self._direct = direct
+        self._peer = peer
+        self._list_peers = list_peers
+        self._metrics = metrics
+        self._rng = rng
+        self._relayed_until = float("-inf")
+        self._paused_until = float("-inf")
+
+    async def list_items(
+        self, prefix: str
+    ) -> Result[tuple[list[KvItem], int], KvError]:
+        """Return the items below a prefix and the store's revision."""
+        reply = await self._call(messages.ListCall(prefix))
+        return reply.map(lambda got: (got.items, got.number))
+
+    async def get_item(self, key: str) -> Result[KvItem | None, KvError]:
+        """Return one item, or None."""
+        reply = await self._call(messages.GetCall(key))
+        return reply.map(lambda got: next(iter(got.items), None))
+
+    async def find_newest(self, prefix: str) -> Result[int, KvError]:
+        """Return the newest revision below a prefix, 0 for none."""
+        listed = await self.list_items(prefix)
+        return listed.map(
+            lambda got: max((item.revision for item in got[0]), default=0)
+        )
+
+    async def put_if(
+        self,
+        key: str,
+        value: bytes,
+        expected: int,
+        lease: int = 0,
+        also: Sequence[KvPut] = (),
+    ) -> Result[KvWrite, KvError]:
+        """Write if the key's revision is as expected; 0 means absent."""
+        puts = (KvPut(key, value, lease), *also)
+        return await self.commit(
+            KvTransaction((KvCheck(key, expected),), puts)
+        )
+
+    async def commit(
+        self, transaction: KvTransaction
+    ) -> Result[KvWrite, KvError]:
+        """Carry out a transaction if all its checks hold."""
+        reply = await self._call(messages.CommitCall(transaction))
+        return reply.map(lambda got: KvWrite(got.won, got.number))
+
+    async def put_item(
+        self, key: str, value: bytes, lease: int = 0
+    ) -> Result[int, KvError]:
+        """Write without condition; return the store's revision."""
+        transaction = KvTransaction((), (KvPut(key, value, lease),))
+        written = await self.commit(transaction)
+        return written.map(lambda got: got.revision)
+
+    async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
+        """Return a new lease's number."""
+        reply = await self._call(messages.GrantCall(ttl_s))
+        return reply.map(lambda got: got.number)
+
+    async def keep_lease(self, lease: int) -> Result[float, KvError]:
+        """Renew a lease; return the seconds left, 0 when it lapsed."""
+        reply = await self._call(messages.KeepCall(lease))
+        return reply.map(lambda got: got.seconds)
+
+    async def revoke_lease(self, lease: int) -> Result[None, KvError]:
+        """Give a lease back."""
+        reply = await self._call(messages.RevokeCall(lease))
+        return reply.map(lambda _: None)
+
+    async def poll(self, prefix: str, after: int) -> Result[Changes, KvError]:
+        """Return the changes after a revision, and where to go on."""
+        reply = await self._call(messages.PollCall(prefix, after))
+        return reply.map(lambda got: (got.events, got.number))
+
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
+        """Yield changes from a revision on; the first Err is the last."""
+        after = from_revision - 1
+        while True:
+            answer = await self.poll(prefix, after)
+            if isinstance(answer, Err):
+                yield answer
+                return
+            events, after = answer.ok_value
+            yield Ok(events)
+
+    async def _call(
+        self, call: messages.KvCall
+    ) -> Result[messages.KvReply, KvError]:
+        """Make a call, by way of a peer while the service refuses."""
+        now = trio.current_time()
+        if now < self._relayed_until:
+            relayed = await self._relay(call)
+            if relayed is not None:
+                return _read(relayed)
+        reply = await make_call(self._direct, call)
+        if not self._may_relay(call, reply):
+            return _read(reply)
+        relayed = await self._relay(call)
+        if relayed is None:
+            return _read(reply)
+        if now >= self._relayed_until:
+            log_event("store_relayed", error=reply.detail)
+        self._relayed_until = trio.current_time() + const.RELAY_S
+        return _read(relayed)
+
+    def _may_relay(
+        self, call: messages.KvCall, reply: messages.KvReply
+    ) -> bool:
+        """Return whether a call that failed may be made again.
+
+        One that may have taken effect may be, if it only reads or can win
+        only once.
+        """
+        match reply.fault:
+            case None | KvFault.NO_LEASE:
+                return False
+            case KvFault.NOT_SENT:
+                return True
+            case KvFault.UNKNOWN:
+                return not isinstance(call, messages.GrantCall)
+
+    async def _relay(self, call: messages.KvCall) -> messages.KvReply | None:
+        """Have a peer make a call; None when none could."""
+        if trio.current_time() < self._paused_until:
+            return None
+        peers = self._list_peers()
+        self._rng.shuffle(peers)
+        for address in peers[: const.PEERS_TRIED]:
+            reply = await self._peer.call_kv(address, call)
+            if reply is not None and reply.fault in (None, KvFault.NO_LEASE):
+                self._metrics.count("kv_calls_relayed")
+                return reply
+        self._paused_until = trio.current_time() + const.PAUSE_S
+        return None
+
+
+def _read(reply: messages.KvReply) -> Result[messages.KvReply, KvError]:
+    """Return a reply, or its fault."""
+    if reply.fault is not None:
+        return Err(KvError(reply.fault, reply.detail))
+    return Ok(reply)
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -9,6 +9,7 @@
 from . import const
 from ..directory.coordinator import Directory
 from ..directory.mirror import PrefixMirror
+from ..holding.clock import read_boot_time
 from ..holding.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
@@ -134,6 +135,9 @@
     async def _load(self, name: str, event: KvEvent, role: Role) -> bool:
         """Load one submission and its results; False to try again."""
         assert event.value is not None
+        if not role.is_valid(read_boot_time()):
+            # It may be another gateway's to run.
+            return False
         record = await self._archive.read_record(name, event.value)
         if isinstance(record, Err):
             return False
