Leave a failed sampler alone, longer each time; wait for the store

A failed instance now gets nothing for 0.5 to 2 s, then one item to try; broken answers count when three come in a row. A submission waits up to 4.5 s, or two fifths of its deadline, for a store that is away: its caller would come again only once. Ruled out: too few loads (all ordered at once).

--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -11,7 +11,8 @@
 LINGER_S: Final = 0.3
 # An instance that failed is avoided for a while, longer each time.
 AVOID_FIRST_S: Final = 0.5
-AVOID_MOST_S: Final = 5.0
+AVOID_MOST_S: Final = 2.0
+MILD_FAILURES: Final = 3
 # Weight of the newest duration in the running mean.
 PACE_WEIGHT: Final = 0.2
 FULL_PAUSE_S: Final = 0.03
--- a/packages/pistachiospar/src/pistachiospar/forwarding/health.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/health.py
@@ -56,13 +56,18 @@
         now: float,
     ) -> None:
         """Note a whole answer."""
+        self.note_success(name)
         state = self.find(name)
-        state.failures = 0
-        state.avoided_until = 0.0
         weight = const.PACE_WEIGHT if state.pace_s else 1.0
         state.pace_s += weight * (took_s - state.pace_s)
         self.note_load(name, load, now)
 
+    def note_success(self, name: str) -> None:
+        """Note that an instance did what it was asked for."""
+        state = self.find(name)
+        state.failures = 0
+        state.avoided_until = 0.0
+
     def note_load(
         self, name: str, load: InstanceLoad | None, now: float
     ) -> None:
@@ -71,12 +76,17 @@
             state = self.find(name)
             state.load, state.load_at = load, now
 
-    def note_failure(self, name: str, now: float) -> None:
-        """Avoid an instance for a while."""
+    def note_failure(self, name: str, now: float, severe: bool = True) -> None:
+        """Avoid an instance for a while, longer each time.
+
+        A failure that is not severe, such as a broken answer, counts only
+        when it comes again and again.
+        """
         state = self.find(name)
-        delay_s = self._backoff.delay(state.failures, self._rng)
         state.failures += 1
-        state.avoided_until = now + delay_s
+        if severe or state.failures >= const.MILD_FAILURES:
+            delay_s = self._backoff.delay(state.failures - 1, self._rng)
+            state.avoided_until = now + delay_s
 
 
 def choose_instance(
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -17,3 +17,9 @@
 GC_THRESHOLD: Final = 50_000
 # A gateway that starts knows its configuration within some 10 ms.
 STARTING_S: Final = 0.4
+# A submission waits so long for a store that is away: its results are due
+# in 7.5 s, and a caller that is refused comes again once.
+PATIENCE_S: Final = 4.5
+PATIENCE_SHARE: Final = 0.4
+END_PATIENCE_S: Final = 2.0
+STORE_RETRY_S: Final = 0.15
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -168,6 +168,7 @@
         runner = ItemRunner(
             self._samplers,
             self._forwarder,
+            self._health,
             lambda host, path: self._directory.table.find_route(host, path),
             versions.observe,
             self.metrics,
@@ -179,6 +180,7 @@
             self._directory,
             runner,
             versions,
+            self._health,
             time.time,
             self.metrics,
             self._rng,
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -5,6 +5,7 @@
 
 from result import Err
 from result import Ok
+from result import Result
 import trio
 
 from ..adapters.http.models import Headers
@@ -30,12 +31,14 @@
 from ..platform.callers import read_submission_call
 from ..platform.callers import ReadBody
 from ..platform.callers import ReadResults
+from ..ports.kv import KvError
 from ..ports.kv import KvFault
 from ..routing.models import CallKind
 from ..routing.models import Route
 from ..submissions.archive import Archive
 from ..submissions.const import KEY_BYTES
 from ..submissions.keys import make_part_key
+from ..submissions.models import Submission
 from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
@@ -157,7 +160,11 @@
             await self._refuse(exchange, caller, problem)
             return
         submission = read.ok_value
-        accepted = await self._archive.accept(submission)
+        patience_s = const.PATIENCE_S
+        if caller.deadline_s is not None:
+            share_s = caller.deadline_s * const.PATIENCE_SHARE
+            patience_s = min(patience_s, share_s)
+        accepted = await self._accept(submission, patience_s)
         match accepted:
             case Ok(new):
                 log_event(
@@ -176,6 +183,26 @@
                 problem = refuse_not_run("store-away", error.detail)
                 await self._refuse(exchange, caller, problem)
 
+    async def _accept(
+        self, submission: Submission, patience_s: float
+    ) -> Result[bool, KvError]:
+        """Keep a submission; go on trying while its caller has time.
+
+        The first fault that leaves it open whether it is kept decides: a
+        later refusal says nothing of the earlier try.
+        """
+        until = trio.current_time() + patience_s
+        doubt: Err[KvError] | None = None
+        while True:
+            accepted = await self._archive.accept(submission)
+            if isinstance(accepted, Ok):
+                return accepted
+            if accepted.err_value.fault is KvFault.UNKNOWN:
+                doubt = accepted
+            if trio.current_time() >= until:
+                return doubt or accepted
+            await trio.sleep(const.STORE_RETRY_S)
+
     async def _read_results(
         self, call: ReadResults, caller: CallerRequest, exchange: Exchange
     ) -> None:
@@ -213,13 +240,15 @@
         if isinstance(known, Ok) and not known.ok_value:
             await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
             return
-        ended = None
-        if isinstance(known, Ok):
-            ended = await self._archive.mark_end(submission)
-        if isinstance(ended, Ok):
-            log_event("submission_end_kept", submission=submission)
-            await exchange.send_whole(200, _JSON, b"{}")
-            return
+        until = trio.current_time() + const.END_PATIENCE_S
+        while isinstance(known, Ok):
+            if (await self._archive.mark_end(submission)).is_ok():
+                log_event("submission_end_kept", submission=submission)
+                await exchange.send_whole(200, _JSON, b"{}")
+                return
+            if trio.current_time() >= until:
+                break
+            await trio.sleep(const.STORE_RETRY_S)
         problem = refuse_not_run("store-away", "the end is not kept")
         await self._refuse(exchange, caller, problem)
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/board.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/board.py
@@ -40,7 +40,6 @@
     began_at: float = 0.0
     not_before: float = 0.0
     avoided: str = ""
-    failed: bool = False
     whole: bool = False
     scope: trio.CancelScope | None = None
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -25,7 +25,7 @@
 # A sampler makes an event each 35 to 150 ms; one that says nothing for so
 # long has lost the stream, or its place.
 STALL_S: Final = 1.2
-FIRST_EVENT_S: Final = 2.0
+FIRST_EVENT_S: Final = 1.2
 # Weight of the newest gap between events in an instance's mean.
 PACE_WEIGHT: Final = 0.05
 # An instance not heard for so long counts as fast as the others again.
@@ -37,7 +37,6 @@
 MOVE_AFTER_S: Final = 0.4
 ITEM_TIME_S: Final = 30.0
 RETRY_S: Final = 0.1
-AVOID_S: Final = 0.5
 SCORE_TIME_S: Final = 1.5
 SCORES_AT_ONCE: Final = 12
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -9,6 +9,7 @@
 from . import const
 from ..directory.coordinator import Directory
 from ..directory.mirror import PrefixMirror
+from ..forwarding.health import InstanceHealth
 from ..holding.clock import read_boot_time
 from ..holding.models import Role
 from ..ports.kv import KeyValue
@@ -50,6 +51,7 @@
         directory: Directory,
         runner: ItemRunner,
         versions: VersionCoordinator,
+        health: InstanceHealth,
         read_wall_s: Callable[[], float],
         metrics: Metrics,
         rng: Random,
@@ -62,6 +64,7 @@
         self._directory = directory
         self._runner = runner
         self._versions = versions
+        self._health = health
         self._read_wall_s = read_wall_s
         self._metrics = metrics
         self._rng = rng
@@ -73,7 +76,6 @@
         )
         self._kept: dict[str, Progress] = {}
         self._in_flight: dict[str, int] = {}
-        self._seat_avoided: dict[str, float] = {}
         self._group_seats: dict[tuple[str, str], str] = {}
         self._early_ends: set[str] = set()
         self._loads: trio.MemorySendChannel[KvEvent] | None = None
@@ -214,7 +216,7 @@
             if not self._start_items(instances, now, nursery):
                 self._move_items(instances, now)
             free = {
-                name: instance.slots - self._in_flight.get(name, 0)
+                name: self._count_free(instance, now)
                 for name, instance in instances.items()
             }
             needs = self._find_needs(models)
@@ -321,15 +323,26 @@
                 Seat(
                     name,
                     versions.find_version(name, model),
-                    instance.slots - self._in_flight.get(name, 0),
+                    self._count_free(instance, now),
                     max(1, instance.slots),
                     self._runner.paces.find(name, now),
-                    now < self._seat_avoided.get(name, 0.0),
                     versions.assigned.get(name) == model,
                 )
             )
         return seats
 
+    def _count_free(self, instance: ListedInstance, now: float) -> int:
+        """Return how many items may start at an instance now.
+
+        One that failed gets nothing for a while, then one item to try.
+        """
+        state = self._health.find(instance.name)
+        if now < state.avoided_until:
+            return 0
+        taken = self._in_flight.get(instance.name, 0)
+        slots = 1 if state.avoided_until else instance.slots
+        return slots - taken
+
     def _find_needs(self, models: list[str]) -> dict[str, ModelNeed]:
         """Say what the work of each model needs of its instances."""
         needs: dict[str, ModelNeed] = {}
@@ -387,9 +400,6 @@
         if submission.ended:
             return
         if result is None:
-            if state.failed:
-                state.failed = False
-                self._seat_avoided[instance.name] = now + const.AVOID_S
             state.phase = Phase.WAITING
             state.instance = ""
         else:
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -6,6 +6,7 @@
 
 from . import const
 from ..forwarding.coordinator import Forwarder
+from ..forwarding.health import InstanceHealth
 from ..forwarding.models import Answered
 from ..forwarding.models import Failed
 from ..forwarding.models import ForwardCall
@@ -14,6 +15,7 @@
 from ..ports.sampler import Samplers
 from ..ports.sampler import StreamEvent
 from ..ports.upstream import UpstreamError
+from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
 from ..routing.models import Route
 from ..telemetry.logs import log_event
@@ -31,12 +33,18 @@
 
 
 class StreamError(Exception):
-    """Tell that a stream can't be used; `restart` voids what it gave."""
+    """Tell that a stream can't be used.
 
-    def __init__(self, detail: str, restart: bool = False) -> None:
+    `restart` voids what it gave, `silent` says that nothing came at all.
+    """
+
+    def __init__(
+        self, detail: str, restart: bool = False, silent: bool = False
+    ) -> None:
         """Take what was wrong."""
         super().__init__(detail)
         self.restart = restart
+        self.silent = silent
 
 
 class PaceBook:
@@ -70,6 +78,7 @@
         self,
         samplers: Samplers,
         forwarder: Forwarder,
+        health: InstanceHealth,
         find_route: FindRoute,
         observe: Callable[[str, str, int], None],
         metrics: Metrics,
@@ -77,6 +86,7 @@
         """Take the ways to instances and routes."""
         self._samplers = samplers
         self._forwarder = forwarder
+        self._health = health
         self._find_route = find_route
         self._observe = observe
         self._metrics = metrics
@@ -95,21 +105,25 @@
 
         `leave` is called once the instance has nothing to do for it.
         """
-        detail = ""
+        detail, severe = "", False
         try:
             if not state.whole:
                 state.whole = await self._stream(
                     submission, state, instance, route
                 )
+        except UpstreamNotSentError as error:
+            detail, severe = str(error), True
         except UpstreamError as error:
             detail = str(error)
         except StreamError as error:
-            detail = str(error)
+            detail, severe = str(error), error.silent
             if error.restart:
                 state.restart()
+        now = trio.current_time()
         if detail:
             state.avoided = instance.name
-            state.failed = True
+            state.not_before = now + const.RETRY_S
+            self._health.note_failure(instance.name, now, severe)
             self._metrics.count("item_attempts_lost")
             log_event(
                 "item_attempt_lost",
@@ -119,6 +133,8 @@
                 events=state.last_event,
                 detail=detail,
             )
+        elif state.whole:
+            self._health.note_success(instance.name)
         if state.errors >= route.max_attempts:
             return give_up(state, "errors")
         if not state.whole:
@@ -168,7 +184,7 @@
                     submission, state, instance, answer, silence
                 )
         if silence.cancelled_caught:
-            raise StreamError("no event in time")
+            raise StreamError("no event in time", silent=True)
         if route.single_version and len(set(state.versions)) > 1:
             raise StreamError("more than one version", restart=True)
         return True
--- a/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
@@ -22,7 +22,6 @@
     free: int
     slots: int
     pace_s: float
-    avoided: bool
     assigned: bool
 
 
@@ -67,7 +66,7 @@
     for seat in usable:
         busy = 1.0 - seat.free / seat.slots
         cost = (
-            float(seat.avoided or seat.instance == avoided),
+            float(seat.instance == avoided),
             float(seat.pace_s > slow_s),
             float(not seat.assigned),
             seat.pace_s * (1.0 + 0.3 * busy)
@@ -90,11 +89,7 @@
     Meant for when nothing waits; no more items than there are such places.
     """
     known = {seat.instance: seat for seat in seats}
-    usable = [
-        seat
-        for seat in known.values()
-        if seat.version >= min_version and not seat.avoided
-    ]
+    usable = [seat for seat in known.values() if seat.version >= min_version]
     places = {seat.instance: seat.free for seat in usable}
     moves: list[ItemState] = []
     for state in running:
