--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -23,3 +23,4 @@
 PATIENCE_SHARE: Final = 0.4
 END_PATIENCE_S: Final = 2.0
 STORE_RETRY_S: Final = 0.15
+LIFE_BYTES: Final = 8
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -0,0 +1,205 @@
+"""Support a gateway's parts, over any adapters."""
+
+from random import Random
+from secrets import token_hex
+from typing import Protocol
+
+from result import Ok
+import trio
+
+from . import const
+from ..directory.coordinator import Directory
+from ..directory.models import DirectoryKeys
+from ..forwarding.coordinator import Forwarder
+from ..forwarding.health import InstanceHealth
+from ..holding.clock import Clocks
+from ..holding.coordinator import HolderCoordinator
+from ..holding.lease import RoleKeeper
+from ..holding.models import HolderRecord
+from ..ports.kv import KeyValue
+from ..ports.peer_kv import PeerKeyValue
+from ..ports.sampler import Samplers
+from ..ports.submissions import SubmissionPeer
+from ..storing.calls import PollingKeyValue
+from ..storing.relayed import RelayedKeyValue
+from ..submissions.archive import Archive
+from ..submissions.board import SubmissionState
+from ..submissions.coordinator import PoolCoordinator
+from ..submissions.reader import SubmissionReader
+from ..submissions.runner import ItemRunner
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from ..versions.coordinator import VersionCoordinator
+from .models import GatewayIdentity
+from .routes import GatewayHandler
+
+
+class GatewayPeers(PeerKeyValue, SubmissionPeer, Protocol):
+    """Reach other gateways, for all that one asks of another."""
+
+
+class GatewayCoordinator:
+    """Hold the parts of a gateway and run their tasks."""
+
+    def __init__(
+        self,
+        identity: GatewayIdentity,
+        keys: DirectoryKeys,
+        direct: PollingKeyValue,
+        samplers: Samplers,
+        peer: GatewayPeers,
+        clocks: Clocks,
+        rng: Random,
+    ) -> None:
+        """Wire the parts."""
+        self.identity = identity
+        self.metrics = Metrics()
+        self._keys = keys
+        self._samplers = samplers
+        self._clocks = clocks
+        self._rng = rng
+        life = token_hex(const.LIFE_BYTES)
+        record = HolderRecord(identity.name, identity.peer, life)
+        self.kv: KeyValue = RelayedKeyValue(
+            direct,
+            peer,
+            lambda: self.holders.list_peers(),
+            self.metrics,
+            rng,
+        )
+        self.directory = Directory(self.kv, keys, self.metrics, rng)
+        keeper = RoleKeeper(
+            self.kv, record, identity.lease_s, clocks.read_boot_s
+        )
+        self.holders = HolderCoordinator(self.kv, record, keeper, rng)
+        self._health = InstanceHealth(rng)
+        self.forwarder = Forwarder(
+            identity.zone,
+            samplers,
+            self.directory.find_instances,
+            self._health,
+            self.metrics,
+            rng,
+        )
+        self._archive = Archive(self.kv, identity.value_bytes)
+        self.pools: dict[str, PoolCoordinator] = {}
+        self.reader = SubmissionReader(
+            self._archive, self.holders, self._find_state, peer
+        )
+        self.handler = GatewayHandler(
+            self.directory,
+            self.forwarder,
+            self._archive,
+            self.reader,
+            clocks.read_wall_s,
+            self.metrics,
+        )
+        self._released: dict[str, int] = {}
+        self._changed = trio.Event()
+        self._table_version = 0
+        self.directory.subscribe(self._note_table)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run all background tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.forwarder.run)
+            nursery.start_soon(self.directory.run)
+            nursery.start_soon(self.holders.run)
+            nursery.start_soon(self._hold_pools)
+            task_status.started()
+
+    async def hand_over(self) -> None:
+        """Make durable what there is and give all roles back."""
+        for name, role in list(self.holders.roles.items()):
+            await self.pools[name].flush(role)
+        await self.holders.stop()
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether a configuration and its store are at hand."""
+        if not self.directory.is_known():
+            return False
+        return not self.directory.operator.is_away(now)
+
+    async def _hold_pools(self) -> None:
+        """Try for each pool that the configuration names; one task."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for policy in self.directory.table.find_pools():
+                    if policy.name not in self.pools:
+                        pool = self._make_pool(policy.name)
+                        self.pools[policy.name] = pool
+                        nursery.start_soon(
+                            self.holders.hold, policy.name, pool.work
+                        )
+                await self._release_instances()
+                names = set(self.directory.instances)
+                self._samplers.forget(names)
+                self._health.keep_only(names)
+                with trio.move_on_after(const.POOL_WATCH_S):
+                    await self._changed.wait()
+
+    async def _release_instances(self) -> None:
+        """Release the instances to be emptied: none of them keeps a thing."""
+        if not self.holders.roles:
+            return
+        for name, revision in list(self.directory.retiring.items()):
+            if self._released.get(name) == revision:
+                continue
+            key = self._keys.prefix_retire_status + name
+            written = await self.kv.put_item(key, self._keys.encode_retired())
+            log_event("instance_released", instance=name, written=str(written))
+            if isinstance(written, Ok):
+                self._released[name] = revision
+
+    def _make_pool(self, name: str) -> PoolCoordinator:
+        """Make the work of one pool."""
+        versions = VersionCoordinator(
+            self.identity.name,
+            self._samplers,
+            self._clocks.read_boot_s,
+            self.metrics,
+        )
+        runner = ItemRunner(
+            self._samplers,
+            self.forwarder,
+            self._health,
+            lambda host, path: self.directory.table.find_route(host, path),
+            versions.observe,
+            self.metrics,
+        )
+        return PoolCoordinator(
+            name,
+            self.kv,
+            self._archive,
+            self.directory,
+            runner,
+            versions,
+            self._health,
+            self._clocks,
+            self.metrics,
+            self._rng,
+        )
+
+    def _find_state(self, submission: str) -> SubmissionState | None:
+        """Return a submission that this gateway works on."""
+        boot_now = self._clocks.read_boot_s()
+        for name, pool in self.pools.items():
+            role = self.holders.roles.get(name)
+            if role is None or not role.is_valid(boot_now):
+                continue
+            state = pool.board.submissions.get(submission)
+            if state is not None:
+                return state
+        return None
+
+    def _note_table(self) -> None:
+        """Look for new pools when a configuration came into force."""
+        version = self.directory.table.version
+        if version != self._table_version:
+            self._table_version = version
+            self._changed.set()
+            self._changed = trio.Event()
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -0,0 +1,18 @@
+"""Data classes of the gateway."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayIdentity:
+    """Say who a gateway is; `peer` is its address for other gateways.
+
+    `lease_s` is how long a role outlives its holder, in seconds,
+    `value_bytes` the largest value that the key-value service keeps.
+    """
+
+    name: str
+    zone: str
+    peer: str
+    lease_s: float
+    value_bytes: int
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -1,6 +1,5 @@
 """Support the work of a pool's holder: take, run, list submissions."""
 
-from collections.abc import Callable
 from random import Random
 
 from result import Err
@@ -10,7 +9,7 @@
 from ..directory.coordinator import Directory
 from ..directory.mirror import PrefixMirror
 from ..forwarding.health import InstanceHealth
-from ..holding.clock import read_boot_time
+from ..holding.clock import Clocks
 from ..holding.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
@@ -52,7 +51,7 @@
         runner: ItemRunner,
         versions: VersionCoordinator,
         health: InstanceHealth,
-        read_wall_s: Callable[[], float],
+        clocks: Clocks,
         metrics: Metrics,
         rng: Random,
     ) -> None:
@@ -65,7 +64,7 @@
         self._runner = runner
         self._versions = versions
         self._health = health
-        self._read_wall_s = read_wall_s
+        self._clocks = clocks
         self._metrics = metrics
         self._rng = rng
         self._committer = ResultCommitter(
@@ -137,7 +136,7 @@
     async def _load(self, name: str, event: KvEvent, role: Role) -> bool:
         """Load one submission and its results; False to try again."""
         assert event.value is not None
-        if not role.is_valid(read_boot_time()):
+        if not role.is_valid(self._clocks.read_boot_s()):
             # It may be another gateway's to run.
             return False
         record = await self._archive.read_record(name, event.value)
@@ -155,7 +154,7 @@
         state = make_state(
             submission,
             trio.current_time(),
-            self._read_wall_s(),
+            self._clocks.read_wall_s(),
             route.due_s if route else 0.0,
             (route.give_up_s if route else 0.0) + const.CLOCK_SLACK_S,
         )
