--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -176,6 +176,28 @@
                 await changed.wait()
         yield Err(KvError(KvFault.UNKNOWN, "watch lost"))
 
+    async def poll(
+        self, prefix: str, after: int
+    ) -> Result[tuple[list[KvEvent], int], KvError]:
+        """Wait up to a second for the changes after a revision."""
+        fault = await self._enter("watch")
+        if fault is not None:
+            return Err(fault)
+        if after < self._store.forgotten:
+            return Err(KvError(KvFault.NOT_SENT, "history is gone"))
+        end = end_of_prefix(prefix).decode()
+        for last in (False, True):
+            self._store.expire(trio.current_time())
+            events = self._store.list_events(prefix, end, after + 1)
+            if events or last:
+                break
+            with trio.move_on_after(1.0):
+                await self._store.changed.wait()
+        if self.faults.down:
+            return Err(KvError(KvFault.UNKNOWN, "watch lost"))
+        told = [KvEvent(e.key, e.value, e.revision) for e in events]
+        return Ok((told, max(after, self._store.revision)))
+
     def freeze_reads(self) -> None:
         """Let the next stale reads see the store as it is now."""
         self._stale = list(self._store.items.values())
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/kv/store.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/store.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         """Begin empty."""
         self.revision = 1
+        self.forgotten = 0
         self.items: dict[str, StoredItem] = {}
         self.events: list[StoredEvent] = []
         self.leases: dict[int, Lease] = {}
@@ -131,6 +132,11 @@
                 found.append(event)
         return found[::-1]
 
+    def forget_history(self) -> None:
+        """Drop the changes made so far, as a compaction does."""
+        self.events.clear()
+        self.forgotten = self.revision
+
     def _note(self, event: StoredEvent) -> None:
         """Keep a change and wake the watches."""
         self.events.append(event)
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -10,7 +10,6 @@
 
 from ..adapters.http.models import Headers
 from ..adapters.http.models import HttpRequest
-from ..adapters.http.server import Exchange
 from . import const
 from ..const import CONTENT_TYPE_JSON
 from ..directory.coordinator import Directory
@@ -31,6 +30,7 @@
 from ..platform.callers import read_submission_call
 from ..platform.callers import ReadBody
 from ..platform.callers import ReadResults
+from ..ports.caller import CallerSink
 from ..ports.kv import KvError
 from ..ports.kv import KvFault
 from ..routing.models import CallKind
@@ -66,7 +66,7 @@
         self._read_wall_s = read_wall_s
         self._metrics = metrics
 
-    async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
+    async def handle(self, request: HttpRequest, exchange: CallerSink) -> None:
         """Serve one request."""
         arrived_at = trio.current_time()
         self._metrics.count("requests")
@@ -89,7 +89,7 @@
         self,
         request: HttpRequest,
         caller: CallerRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
         arrived_at: float,
     ) -> None:
         """Serve a request by its route."""
@@ -108,7 +108,7 @@
         self,
         request: HttpRequest,
         caller: CallerRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
         route: Route,
         arrived_at: float,
     ) -> None:
@@ -142,7 +142,7 @@
         self,
         request: HttpRequest,
         caller: CallerRequest,
-        exchange: Exchange,
+        exchange: CallerSink,
     ) -> None:
         """Keep a submission; it is durable before the answer."""
         if request.method != "POST":
@@ -204,7 +204,7 @@
             await trio.sleep(const.STORE_RETRY_S)
 
     async def _read_results(
-        self, call: ReadResults, caller: CallerRequest, exchange: Exchange
+        self, call: ReadResults, caller: CallerRequest, exchange: CallerSink
     ) -> None:
         """Answer with results from a position on."""
         found = await self._reader.read(
@@ -220,7 +220,7 @@
             await exchange.send_whole(200, _JSON, body)
 
     async def _read_body(
-        self, call: ReadBody, caller: CallerRequest, exchange: Exchange
+        self, call: ReadBody, caller: CallerRequest, exchange: CallerSink
     ) -> None:
         """Answer with an item's body."""
         found = await self._reader.read_body(call.submission, call.item)
@@ -233,7 +233,7 @@
             await exchange.send_whole(200, [], found.ok_value)
 
     async def _end(
-        self, submission: str, caller: CallerRequest, exchange: Exchange
+        self, submission: str, caller: CallerRequest, exchange: CallerSink
     ) -> None:
         """End a submission; the end is durable before the answer."""
         known = await self._reader.exists(submission)
@@ -253,7 +253,7 @@
         await self._refuse(exchange, caller, problem)
 
     async def _refuse(
-        self, exchange: Exchange, caller: CallerRequest, problem: Problem
+        self, exchange: CallerSink, caller: CallerRequest, problem: Problem
     ) -> None:
         """Send a refusal and log what decided it."""
         self._metrics.count(f"refused_{problem.kind}")
