--- a/features/bundles.feature
+++ b/features/bundles.feature
@@ -5,28 +5,53 @@
     Then it does what the contract says
 
     Examples: in memory
-      | service | row                                   |
-      | fake    | read after write                      |
-      | fake    | the newest revision                   |
-      | fake    | compare and swap                      |
-      | fake    | a reply lost after the write          |
-      | fake    | the service is down                   |
-      | fake    | a lease lapses                        |
-      | fake    | a lease is given back                 |
-      | fake    | a watch sees changes                  |
-      | fake    | a watch ends when the service is down |
+      | service  | row                                   |
+      | fake     | read after write                      |
+      | fake     | the newest revision                   |
+      | fake     | compare and swap                      |
+      | fake     | a reply lost after the write          |
+      | fake     | the service is down                   |
+      | fake     | a lease lapses                        |
+      | fake     | a lease is given back                 |
+      | fake     | a watch sees changes                  |
+      | fake     | a watch ends when the service is down |
+      | fake     | a transaction with two checks         |
+      | fake     | a transaction without its lease       |
+      | fake     | more items than a page                |
 
     Examples: over loopback
-      | service | row                                   |
-      | adapter | read after write                      |
-      | adapter | the newest revision                   |
-      | adapter | compare and swap                      |
-      | adapter | a reply lost after the write          |
-      | adapter | the service is down                   |
-      | adapter | a lease lapses                        |
-      | adapter | a lease is given back                 |
-      | adapter | a watch sees changes                  |
-      | adapter | a watch ends when the service is down |
+      | service  | row                                   |
+      | adapter  | read after write                      |
+      | adapter  | the newest revision                   |
+      | adapter  | compare and swap                      |
+      | adapter  | a reply lost after the write          |
+      | adapter  | the service is down                   |
+      | adapter  | a lease lapses                        |
+      | adapter  | a lease is given back                 |
+      | adapter  | a watch sees changes                  |
+      | adapter  | a watch ends when the service is down |
+      | adapter  | a transaction with two checks         |
+      | adapter  | a transaction without its lease       |
+      | adapter  | more items than a page                |
+
+    Examples: on the users' platform, over loopback
+      | service  | row                                   |
+      | platform | read after write                      |
+      | platform | the newest revision                   |
+      | platform | compare and swap                      |
+      | platform | a reply lost after the write          |
+      | platform | the service is down                   |
+      | platform | a lease lapses                        |
+      | platform | a lease is given back                 |
+      | platform | a watch sees changes                  |
+      | platform | a watch ends when the service is down |
+      | platform | a transaction with two checks         |
+      | platform | a transaction without its lease       |
+      | platform | more items than a page                |
+
+  Scenario: the platform's store forgets its history
+    When the platform's store drops its history under a watch
+    Then the watch fails and a listing tells what is there
 
   Scenario: operators race, replies are lost, the service goes down
     Then 400 races of three operators keep every promise
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -5,12 +5,15 @@
 from behave import when
 from support.draws import check_seeds
 from support.kv_contract import EXPECTED
+from support.kv_contract import find_compaction
 from support.kv_contract import run_on_adapter
 from support.kv_contract import run_on_fake
+from support.kv_contract import run_on_platform
 from support.races import rotate_keys_case
 from support.races import run_race
 from support.rollouts import count_calls
 from support.rollouts import run_rollout
+import trio
 
 DRAW_SEED = 20261204
 FULL_ENTRIES = 410
@@ -19,9 +22,25 @@
 @when("{row} is tried on the {service}")
 def try_row(context: Context, row: str, service: str) -> None:
     """Run a row of the contract."""
-    run = run_on_fake if service == "fake" else run_on_adapter
+    runs = {
+        "fake": run_on_fake,
+        "adapter": run_on_adapter,
+        "platform": run_on_platform,
+    }
     context.row = row
-    context.found = run(row)
+    context.found = runs[service](row)
+
+
+@when("the platform's store drops its history under a watch")
+def drop_history(context: Context) -> None:
+    """Watch from a revision that is gone."""
+    context.found = trio.run(find_compaction)
+
+
+@then("the watch fails and a listing tells what is there")
+def check_dropped(context: Context) -> None:
+    """Check that nothing is missed."""
+    assert context.found == [True, 1, True], context.found
 
 
 @then("it does what the contract says")
--- a/features/support/kv_contract.py
+++ b/features/support/kv_contract.py
@@ -9,14 +9,18 @@
 from pistachiospar.adapters.etcd.client import EtcdKeyValue
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.adapters.http.server import HttpServer
+from pistachiospar.platform.store import PlatformKeyValue
 from pistachiospar.ports.kv import KeyValue
+from pistachiospar.ports.kv import KvCheck
 from pistachiospar.ports.kv import KvPut
+from pistachiospar.ports.kv import KvTransaction
 from pistachiospar_standins.fakes.fleet import run_virtual
 from pistachiospar_standins.fakes.kv import FakeKeyValue
 from pistachiospar_standins.fakes.kv import KvFaultSet
 from pistachiospar_standins.kv.server import KvHandler
 from pistachiospar_standins.kv.server import KvSettings
 from pistachiospar_standins.kv.store import Store
+from pistachiospar_standins.platform.store import PlatformStoreHandler
 from result import Err
 import trio
 
@@ -144,6 +148,40 @@
     return [seen[0], seen[-1]]
 
 
+async def transaction(bench: Bench) -> list[object]:
+    """Write and remove under two checks; then again, with one stale."""
+    await bench.kv.put_item("/t/old", b"1")
+    old = (await bench.kv.get_item("/t/old")).unwrap()
+    revision = old.revision if old else 0
+    asked = KvTransaction(
+        (KvCheck("/t/old", revision), KvCheck("/t/new", 0)),
+        (KvPut("/t/new", b"2"),),
+        ("/t/old",),
+    )
+    first = (await bench.kv.commit(asked)).unwrap()
+    again = (await bench.kv.commit(asked)).unwrap()
+    items, _ = (await bench.kv.list_items("/t/")).unwrap()
+    return [first.won, again.won, [(i.key, i.value) for i in items]]
+
+
+async def transaction_without_lease(bench: Bench) -> list[object]:
+    """Write under a lease that is gone: nothing happens."""
+    lease = (await bench.kv.grant_lease(60)).unwrap()
+    await bench.kv.revoke_lease(lease)
+    puts = (KvPut("/t/a", b"1"), KvPut("/t/b", b"2", lease))
+    written = await bench.kv.commit(KvTransaction((), puts))
+    items, _ = (await bench.kv.list_items("/t/")).unwrap()
+    return [written.is_err(), items]
+
+
+async def many_items(bench: Bench) -> list[object]:
+    """List more items than a page holds."""
+    for number in range(8):
+        await bench.kv.put_item(f"/m/{number}", b"x")
+    items, _ = (await bench.kv.list_items("/m/")).unwrap()
+    return [[item.key for item in items]]
+
+
 ROWS: dict[str, Callable[[Bench], Awaitable[list[object]]]] = {
     "read after write": read_after_write,
     "the newest revision": newest_revision,
@@ -154,6 +192,9 @@
     "a lease is given back": lease_revoked,
     "a watch sees changes": watch_changes,
     "a watch ends when the service is down": watch_ends_when_down,
+    "a transaction with two checks": transaction,
+    "a transaction without its lease": transaction_without_lease,
+    "more items than a page": many_items,
 }
 
 EXPECTED: dict[str, list[object]] = {
@@ -166,6 +207,9 @@
     "a lease is given back": [None],
     "a watch sees changes": [("/w/1", b"a"), ("/w/2", b"b"), ("/w/2", None)],
     "a watch ends when the service is down": ["told", "lost"],
+    "a transaction with two checks": [True, False, [("/t/new", b"2")]],
+    "a transaction without its lease": [True, []],
+    "more items than a page": [[f"/m/{number}" for number in range(8)]],
 }
 
 
@@ -194,6 +238,33 @@
     return trio.run(work)
 
 
+def run_on_platform(row: str) -> list[object]:
+    """Run a row on the platform's adapter and stand-in, over loopback."""
+
+    async def work() -> list[object]:
+        handler = PlatformStoreHandler()
+        server = HttpServer(handler.handle)
+        async with serve_loopback(server.handle_connection) as address:
+            kv = PlatformKeyValue(address)
+            return await ROWS[row](Bench(kv, handler.store, handler.faults))
+
+    return trio.run(work)
+
+
+async def find_compaction() -> list[object]:
+    """Watch from a revision whose history the platform's store dropped."""
+    handler = PlatformStoreHandler()
+    server = HttpServer(handler.handle)
+    async with serve_loopback(server.handle_connection) as address:
+        kv = PlatformKeyValue(address)
+        _, revision = (await kv.list_items("/w/")).unwrap()
+        await kv.put_item("/w/1", b"a")
+        handler.store.forget_history()
+        polled = await kv.poll("/w/", revision)
+        items, newest = (await kv.list_items("/w/")).unwrap()
+        return [polled.is_err(), len(items), newest > revision]
+
+
 @asynccontextmanager
 async def serve_loopback(
     handle: Callable[[trio.SocketStream], Awaitable[None]],
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform, over TCP."""
