--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -124,6 +124,15 @@
             instances, self._health, tried, self._zone, now, self._rng
         )
 
+    def count_slots(self, route: Route) -> int:
+        """Return how many calls a route's instances run at once."""
+        now = trio.current_time()
+        return sum(
+            instance.slots
+            for share in route.shares
+            for instance in self._find_instances(share.upstream, now)
+        )
+
     async def _run(
         self,
         race: Race,
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -36,9 +36,13 @@
 MOVE_RATIO: Final = 1.7
 MOVE_AFTER_S: Final = 0.4
 ITEM_TIME_S: Final = 30.0
+# Changes that come together are looked at once.
+LOOK_PAUSE_S: Final = 0.005
 RETRY_S: Final = 0.1
 SCORE_TIME_S: Final = 1.5
-SCORES_AT_ONCE: Final = 12
+# Scoring calls leave room for callers at the instances that take both.
+SCORES_LEAST: Final = 4
+SCORES_SHARE: Final = 0.7
 
 PAGE_BYTES: Final = MEBIBYTE * 9 // 10
 PEER_TIMEOUT_S: Final = 0.4
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -13,14 +13,12 @@
 from ..holding.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
-from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..versions.coordinator import VersionCoordinator
 from ..versions.decisions import ModelNeed
 from .archive import Archive
 from .board import Board
-from .board import ItemState
 from .board import make_state
 from .board import Phase
 from .board import SubmissionState
@@ -29,14 +27,10 @@
 from .checkpoints import make_progress
 from .checkpoints import Progress
 from .commits import ResultCommitter
+from .dispatch import ItemDispatcher
 from .keys import read_submission_key
 from .models import Submission
-from .runner import give_up
 from .runner import ItemRunner
-from .scheduling import choose_moves
-from .scheduling import choose_seat
-from .scheduling import order_items
-from .scheduling import Seat
 
 
 class PoolCoordinator:
@@ -61,9 +55,7 @@
         self._kv = kv
         self._archive = archive
         self._directory = directory
-        self._runner = runner
         self._versions = versions
-        self._health = health
         self._clocks = clocks
         self._metrics = metrics
         self._rng = rng
@@ -74,8 +66,9 @@
             pool, kv, self.board, archive.value_bytes, metrics
         )
         self._kept: dict[str, Progress] = {}
-        self._in_flight: dict[str, int] = {}
-        self._group_seats: dict[tuple[str, str], str] = {}
+        self._dispatcher = ItemDispatcher(
+            self.board, directory, runner, versions, health, metrics
+        )
         self._early_ends: set[str] = set()
         self._loads: trio.MemorySendChannel[KvEvent] | None = None
 
@@ -96,7 +89,7 @@
         finally:
             self._loads = None
             self.board.clear()
-            self._in_flight.clear()
+            self._dispatcher.clear()
             self._versions.loading.clear()
 
     async def flush(self, role: Role) -> None:
@@ -208,140 +201,20 @@
         while True:
             woken = self.board.woken
             now = trio.current_time()
-            instances = self._list_instances(now)
+            found = self._directory.find_instances(self.pool, now)
+            instances = {instance.name: instance for instance in found}
             policy = self._directory.table.upstreams.get(self.pool)
             models = list(policy.models) if policy else []
-            self._versions.learn(list(instances.values()), models)
-            if not self._start_items(instances, now, nursery):
-                self._move_items(instances, now)
-            free = {
-                name: self._count_free(instance, now)
-                for name, instance in instances.items()
-            }
+            self._versions.learn(found, models)
+            free = self._dispatcher.dispatch(instances, models, now, nursery)
             needs = self._find_needs(models)
             self._versions.order_loads(
-                role, instances, needs, free, nursery, self._wake
+                role, instances, needs, free, nursery, self.board.wake
             )
+            await trio.sleep(const.LOOK_PAUSE_S)
             with trio.move_on_after(const.RETRY_S):
                 await woken.wait()
 
-    def _wake(self) -> None:
-        """Look again at what may run."""
-        self.board.wake()
-
-    def _list_instances(self, now: float) -> dict[str, ListedInstance]:
-        """Return the pool's instances that take new work."""
-        found = self._directory.find_instances(self.pool, now)
-        return {instance.name: instance for instance in found}
-
-    def _start_items(
-        self,
-        instances: dict[str, ListedInstance],
-        now: float,
-        nursery: trio.Nursery,
-    ) -> bool:
-        """Start waiting items where there is room; tell if some wait on."""
-        waits = False
-        for submission, state in order_items(self.board.list_open(), now):
-            if now >= submission.give_up_at:
-                self._give_up(submission, state, now)
-                continue
-            model = submission.submission.model
-            group = (submission.submission.id, state.item.group)
-            seat = choose_seat(
-                self._list_seats(instances, model, now),
-                submission.submission.min_version,
-                self._group_seats.get(group, ""),
-                state.avoided,
-            )
-            if seat is None:
-                waits = True
-                continue
-            log_event(
-                "item_started",
-                item=state.item.id,
-                submission=submission.submission.id,
-                instance=seat.instance,
-                version=seat.version,
-                free=seat.free,
-                pace_s=round(seat.pace_s, 4),
-                events=state.last_event,
-            )
-            self._group_seats[group] = seat.instance
-            state.phase = Phase.RUNNING
-            state.instance = seat.instance
-            state.began_at = now
-            self._in_flight[seat.instance] = (
-                self._in_flight.get(seat.instance, 0) + 1
-            )
-            nursery.start_soon(
-                self._run_item, submission, state, instances[seat.instance]
-            )
-        return waits
-
-    def _move_items(
-        self, instances: dict[str, ListedInstance], now: float
-    ) -> None:
-        """Move streams from slow instances to faster ones with room."""
-        for submission in self.board.list_open():
-            states = submission.items.values()
-            running = [s for s in states if s.phase is Phase.RUNNING]
-            model = submission.submission.model
-            moves = choose_moves(
-                running,
-                self._list_seats(instances, model, now),
-                submission.submission.min_version,
-                now,
-            )
-            for state in moves:
-                log_event(
-                    "item_moved",
-                    item=state.item.id,
-                    instance=state.instance,
-                    events=state.last_event,
-                    pace_s=round(
-                        self._runner.paces.find(state.instance, now), 4
-                    ),
-                )
-                self._metrics.count("item_moves")
-                state.avoided = state.instance
-                if state.scope is not None:
-                    state.scope.cancel()
-
-    def _list_seats(
-        self, instances: dict[str, ListedInstance], model: str, now: float
-    ) -> list[Seat]:
-        """Describe the instances for a model's items."""
-        versions = self._versions
-        seats: list[Seat] = []
-        for name, instance in instances.items():
-            load = versions.loading.get(name)
-            if load is not None and load.model == model:
-                continue
-            seats.append(
-                Seat(
-                    name,
-                    versions.find_version(name, model),
-                    self._count_free(instance, now),
-                    max(1, instance.slots),
-                    self._runner.paces.find(name, now),
-                    versions.assigned.get(name) == model,
-                )
-            )
-        return seats
-
-    def _count_free(self, instance: ListedInstance, now: float) -> int:
-        """Return how many items may start at an instance now.
-
-        One that failed gets nothing for a while, then one item to try.
-        """
-        state = self._health.find(instance.name)
-        if now < state.avoided_until:
-            return 0
-        taken = self._in_flight.get(instance.name, 0)
-        slots = 1 if state.avoided_until else instance.slots
-        return slots - taken
-
     def _find_needs(self, models: list[str]) -> dict[str, ModelNeed]:
         """Say what the work of each model needs of its instances."""
         needs: dict[str, ModelNeed] = {}
@@ -360,54 +233,3 @@
             named = self._directory.named_versions.get(model, 1)
             needs[model] = ModelNeed(named, required, waiting * item_s, busy)
         return needs
-
-    async def _run_item(
-        self,
-        submission: SubmissionState,
-        state: ItemState,
-        instance: ListedInstance,
-    ) -> None:
-        """Run an item once; one that brought no result waits again."""
-        result = None
-        route = self._directory.table.find_route(
-            submission.submission.host, state.item.path
-        )
-        state.scope = trio.CancelScope()
-        seated = True
-
-        def leave() -> None:
-            nonlocal seated
-            if seated:
-                seated = False
-                self._in_flight[instance.name] -= 1
-                self._versions.demand.note_item(
-                    submission.submission.model,
-                    trio.current_time() - state.began_at,
-                )
-                self.board.wake()
-
-        with state.scope:
-            try:
-                if route is not None and not submission.ended:
-                    result = await self._runner.run(
-                        submission, state, instance, route, leave
-                    )
-            finally:
-                leave()
-                state.scope = None
-        now = trio.current_time()
-        if submission.ended:
-            return
-        if result is None:
-            state.phase = Phase.WAITING
-            state.instance = ""
-        else:
-            submission.finish(result, now)
-        self.board.wake()
-
-    def _give_up(
-        self, submission: SubmissionState, state: ItemState, now: float
-    ) -> None:
-        """List an item as not done: its time is over."""
-        submission.finish(give_up(state, "age"), now)
-        self.board.wake()
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -90,7 +90,7 @@
         self._find_route = find_route
         self._observe = observe
         self._metrics = metrics
-        self._scoring = trio.CapacityLimiter(const.SCORES_AT_ONCE)
+        self._scoring = trio.CapacityLimiter(const.SCORES_LEAST)
         self.paces = PaceBook()
 
     async def run(
@@ -286,6 +286,10 @@
             if route is None:
                 await trio.sleep(const.RETRY_S)
                 continue
+            slots = self._forwarder.count_slots(route)
+            self._scoring.total_tokens = max(
+                const.SCORES_LEAST, int(slots * const.SCORES_SHARE)
+            )
             async with self._scoring:
                 now = trio.current_time()
                 outcome = await self._forwarder.forward(
--- a/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
@@ -1,6 +1,7 @@
 """Decide which item runs next, and where."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from . import const
@@ -48,6 +49,7 @@
 
 def choose_seat(
     seats: Iterable[Seat],
+    free: Mapping[str, int],
     min_version: int,
     group_instance: str,
     avoided: str,
@@ -55,16 +57,20 @@
     """Choose where an item runs; None when it has to wait.
 
     The group's instance has read its prompt already. Else the instance
-    whose events would come fastest.
+    whose events would come fastest. `free` has what is left of the places.
     """
-    usable = [s for s in seats if s.version >= min_version and s.free > 0]
+    usable = [
+        seat
+        for seat in seats
+        if seat.version >= min_version and free[seat.instance] > 0
+    ]
     if not usable:
         return None
     best: Seat | None = None
     best_cost: tuple[float, ...] = ()
     slow_s = const.MOVE_RATIO * min(seat.pace_s for seat in usable)
     for seat in usable:
-        busy = 1.0 - seat.free / seat.slots
+        busy = 1.0 - free[seat.instance] / seat.slots
         cost = (
             float(seat.instance == avoided),
             float(seat.pace_s > slow_s),
@@ -81,6 +87,7 @@
 def choose_moves(
     running: Iterable[ItemState],
     seats: Iterable[Seat],
+    free: Mapping[str, int],
     min_version: int,
     now: float,
 ) -> list[ItemState]:
@@ -90,7 +97,7 @@
     """
     known = {seat.instance: seat for seat in seats}
     usable = [seat for seat in known.values() if seat.version >= min_version]
-    places = {seat.instance: seat.free for seat in usable}
+    places = dict(free)
     moves: list[ItemState] = []
     for state in running:
         here = known.get(state.instance)
