--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -14,6 +14,7 @@
 from pistachiospar.ports.kv import KvPut
 from pistachiospar.ports.kv import KvTransaction
 from pistachiospar.ports.kv import KvWrite
+from pistachiospar.ports.kv import WATCH_WAIT_S
 from result import Err
 from result import Ok
 from result import Result
@@ -151,7 +152,7 @@
         return Ok(None)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on; the first Err is the last."""
         fault = await self._enter("watch")
@@ -177,9 +178,9 @@
         yield Err(KvError(KvFault.UNKNOWN, "watch lost"))
 
     async def poll(
-        self, prefix: str, after: int
+        self, prefix: str, after: int, wait_s: float = WATCH_WAIT_S
     ) -> Result[tuple[list[KvEvent], int], KvError]:
-        """Wait up to a second for the changes after a revision."""
+        """Wait for the changes after a revision."""
         fault = await self._enter("watch")
         if fault is not None:
             return Err(fault)
@@ -191,8 +192,12 @@
             events = self._store.list_events(prefix, end, after + 1)
             if events or last:
                 break
-            with trio.move_on_after(1.0):
-                await self._store.changed.wait()
+            with trio.move_on_after(wait_s):
+                while not events and not self.faults.down:
+                    with trio.move_on_after(1.0):
+                        await self._store.changed.wait()
+                    self._store.expire(trio.current_time())
+                    events = self._store.list_events(prefix, end, after + 1)
         if self.faults.down:
             return Err(KvError(KvFault.UNKNOWN, "watch lost"))
         told = [KvEvent(e.key, e.value, e.revision) for e in events]
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -19,6 +19,7 @@
 from ...ports.kv import KvPut
 from ...ports.kv import KvTransaction
 from ...ports.kv import KvWrite
+from ...ports.kv import WATCH_WAIT_S
 from . import const
 from ..http.client import Address
 from ..http.client import HttpPool
@@ -149,7 +150,7 @@
         return answer.map(lambda _: None)
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on; the first Err is the last."""
         create = models.WatchCreate(
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -24,8 +24,9 @@
 
     async def call_kv(self, address: str, call: KvCall) -> KvReply | None:
         """Have a peer make a key-value call; None when unreachable."""
-        waits = isinstance(call, PollCall)
-        timeout_s = const.POLL_TIMEOUT_S if waits else const.KV_TIMEOUT_S
+        timeout_s = const.KV_TIMEOUT_S
+        if isinstance(call, PollCall):
+            timeout_s += call.wait_s
         body = msgspec.msgpack.encode(call)
         try:
             with trio.fail_after(timeout_s):
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/const.py
@@ -7,6 +7,5 @@
 # A holder that does not answer beyond the wait asked for is gone.
 SLACK_S: Final = 0.4
 PATH_KV: Final = "/kv"
-# A peer's own call may take 1.8 s, a waiting one 4.2 s.
+# A peer's own call may take 1.8 s, beside what it waits.
 KV_TIMEOUT_S: Final = 2.2
-POLL_TIMEOUT_S: Final = 4.6
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -11,6 +11,7 @@
 from ..helpers.backoff import Backoff
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
+from ..ports.kv import WATCH_WAIT_S
 from ..telemetry.logs import log_event
 
 
@@ -24,6 +25,7 @@
         tell: Callable[[KvEvent], None],
         rng: Random,
         gather_s: float = 0.0,
+        wait_s: float = WATCH_WAIT_S,
     ) -> None:
         """Begin with nothing known; `gather_s` joins close changes."""
         self._kv = kv
@@ -31,6 +33,7 @@
         self._tell = tell
         self._rng = rng
         self._gather_s = gather_s
+        self._wait_s = wait_s
         self._backoff = Backoff(const.RETRY_FIRST_S, const.RETRY_MOST_S)
         self.revisions: dict[str, int] = {}
         self.synced = trio.Event()
@@ -63,7 +66,7 @@
             self._apply(KvEvent(item.key, item.value, item.revision))
         self.synced.set()
         async with aclosing(
-            self._kv.watch(self.prefix, revision + 1)
+            self._kv.watch(self.prefix, revision + 1, self._wait_s)
         ) as watch:
             async for events in watch:
                 if isinstance(events, Err):
--- a/packages/pistachiospar/src/pistachiospar/holding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -11,6 +11,8 @@
 # The holder stops giving orders this much before the lease may end.
 MARGIN_S: Final = 0.3
 # Candidates wait in turn, so that a vacancy costs one call, not one each.
+# Who holds what changes seldom, and other gateways see it too.
+WATCH_WAIT_S: Final = 9.0
 TURN_S: Final = 0.35
 RETRY_S: Final = 0.3
 GIVE_BACK_S: Final = 0.6
--- a/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
@@ -40,7 +40,11 @@
         self._changed = trio.Event()
         self._stopping = False
         self.mirror = PrefixMirror(
-            kv, const.PREFIX_GATEWAYS, self._take_event, rng
+            kv,
+            const.PREFIX_GATEWAYS,
+            self._take_event,
+            rng,
+            wait_s=const.WATCH_WAIT_S,
         )
         self._members: dict[str, HolderRecord] = {}
 
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -19,9 +19,7 @@
 PREFIX_RETIRE: Final = "op/retire/"
 PREFIX_RETIRE_STATUS: Final = "status/retire/"
 PREFIX_INSTANCES: Final = "servers/"
-# A waiting watch is answered after this time at the latest; with the slack
-# a connection that went silent is noticed before a change is overdue.
-WATCH_WAIT_MS: Final = 3000
+# A waiting watch that is not answered so long after its time is lost.
 WATCH_SLACK_S: Final = 1.2
 # 4 ms an answer; the slowest days have it 100 times as slow.
 CALL_TIMEOUT_S: Final = 1.8
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -26,6 +26,7 @@
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..ports.kv import KvWrite
+from ..ports.kv import WATCH_WAIT_S
 
 Message = TypeVar("Message")
 
@@ -221,15 +222,15 @@
         return answer.map(lambda _: None)
 
     async def poll(
-        self, prefix: str, after: int
+        self, prefix: str, after: int, wait_s: float = WATCH_WAIT_S
     ) -> Result[tuple[list[KvEvent], int], KvError]:
         """Return the changes after a revision, and where to go on."""
         query = {
             "prefix": prefix,
             "after": str(after),
-            "waitMs": str(const.WATCH_WAIT_MS),
+            "waitMs": str(round(wait_s * 1000)),
         }
-        timeout_s = const.WATCH_WAIT_MS / 1000 + const.WATCH_SLACK_S
+        timeout_s = wait_s + const.WATCH_SLACK_S
         answer = await self._get(
             const.PATH_WATCH, query, WatchAnswer, timeout_s
         )
@@ -241,12 +242,12 @@
         )
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on; the first Err is the last."""
         after = from_revision - 1
         while True:
-            answer = await self.poll(prefix, after)
+            answer = await self.poll(prefix, after, wait_s)
             if isinstance(answer, Err):
                 yield answer
                 return
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -4,11 +4,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 from typing import Protocol
 
 from result import Result
 
 
+# A change of configuration has to be in force 2 s after it was made.
+WATCH_WAIT_S: Final = 3.0
+
+
 class KvFault(Enum):
     """Say what is known of a call that failed.
 
@@ -130,9 +135,12 @@
         """Give a lease back."""
 
     def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on.
 
+        With nothing to tell, a service that is asked again and again waits
+        `wait_s` each time: a connection that went silent shows after that.
+
         An empty list is a progress notice; the first Err is the last item.
         """
--- a/packages/pistachiospar/src/pistachiospar/storing/calls.py
+++ b/packages/pistachiospar/src/pistachiospar/storing/calls.py
@@ -17,7 +17,9 @@
 class PollingKeyValue(KeyValue, Protocol):
     """Reach a key-value service whose watch is a call that waits."""
 
-    async def poll(self, prefix: str, after: int) -> Result[Changes, KvError]:
+    async def poll(
+        self, prefix: str, after: int, wait_s: float
+    ) -> Result[Changes, KvError]:
         """Return the changes after a revision, and where to go on."""
 
 
@@ -61,8 +63,8 @@
             if isinstance(revoked, Ok):
                 return messages.KvReply()
             return _fail(revoked)
-        case messages.PollCall(prefix, after):
-            polled = await kv.poll(prefix, after)
+        case messages.PollCall(prefix, after, wait_s):
+            polled = await kv.poll(prefix, after, wait_s)
             if isinstance(polled, Ok):
                 events, number = polled.ok_value
                 return messages.KvReply(events=events, number=number)
--- a/packages/pistachiospar/src/pistachiospar/storing/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/storing/messages.py
@@ -49,6 +49,7 @@
 
     prefix: str
     after: int
+    wait_s: float
 
 
 KvCall = (
--- a/packages/pistachiospar/src/pistachiospar/storing/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/storing/relayed.py
@@ -23,6 +23,7 @@
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..ports.kv import KvWrite
+from ..ports.kv import WATCH_WAIT_S
 from ..ports.peer_kv import PeerKeyValue
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
@@ -114,18 +115,20 @@
         reply = await self._call(messages.RevokeCall(lease))
         return reply.map(lambda _: None)
 
-    async def poll(self, prefix: str, after: int) -> Result[Changes, KvError]:
+    async def poll(
+        self, prefix: str, after: int, wait_s: float = WATCH_WAIT_S
+    ) -> Result[Changes, KvError]:
         """Return the changes after a revision, and where to go on."""
-        reply = await self._call(messages.PollCall(prefix, after))
+        reply = await self._call(messages.PollCall(prefix, after, wait_s))
         return reply.map(lambda got: (got.events, got.number))
 
     async def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
     ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
         """Yield changes from a revision on; the first Err is the last."""
         after = from_revision - 1
         while True:
-            answer = await self.poll(prefix, after)
+            answer = await self.poll(prefix, after, wait_s)
             if isinstance(answer, Err):
                 yield answer
                 return
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -15,7 +15,7 @@
 # Results that are whole wait this long for others of their groups; groups
 # earn when they are whole, so most writes carry whole groups.
 LINGER_S: Final = 0.9
-GATHER_S: Final = 0.05
+GATHER_S: Final = 0.1
 COMMIT_ROWS: Final = 12
 COMMIT_BYTES: Final = MEBIBYTE // 2
 COMMIT_RETRY_S: Final = 0.15
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -121,6 +121,10 @@
         """Return whether there is such a submission."""
         if self._find_state(submission) is not None:
             return Ok(True)
+        if submission not in self._cache:
+            page = await self._ask_holders(submission, 0, 0.0)
+            if page is not None:
+                return Ok(True)
         known = await self._load(submission)
         return known.map(lambda found: found is not None)
 
