--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
@@ -59,6 +59,7 @@
     max_attempts: int = 3
     single_version: bool = False
     give_up_s: float = 40.0
+    keep_s: float = 120.0
     faults: KvFaultSet = field(default_factory=KvFaultSet)
 
 
@@ -130,7 +131,9 @@
             return trio.current_time() + running.boot_skip_s
 
         coordinator = GatewayCoordinator(
-            GatewayIdentity(name, "zone", name, LEASE_S, VALUE_BYTES),
+            GatewayIdentity(
+                name, "zone", name, LEASE_S, VALUE_BYTES, self.plan.keep_s
+            ),
             PLATFORM_KEYS,
             kv,
             FakeSamplers(self.world, name),
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -23,4 +23,6 @@
 PATIENCE_SHARE: Final = 0.4
 END_PATIENCE_S: Final = 2.0
 STORE_RETRY_S: Final = 0.15
+# Health, state and metrics, on each instance; deploy/system.toml names it.
+ADMIN_PORT: Final = 9464
 LIFE_BYTES: Final = 8
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -72,12 +72,12 @@
             self.kv, record, identity.lease_s, clocks.read_boot_s
         )
         self.holders = HolderCoordinator(self.kv, record, keeper, rng)
-        self._health = InstanceHealth(rng)
+        self.health = InstanceHealth(rng)
         self.forwarder = Forwarder(
             identity.zone,
             samplers,
             self.directory.find_instances,
-            self._health,
+            self.health,
             self.metrics,
             rng,
         )
@@ -98,6 +98,10 @@
         self._changed = trio.Event()
         self._table_version = 0
         self.directory.subscribe(self._note_table)
+        self.metrics.add_gauge(
+            "configuration", lambda: self.directory.table.version
+        )
+        self.metrics.add_gauge("roles", lambda: len(self.holders.roles))
 
     async def run(
         self,
@@ -138,7 +142,7 @@
                 await self._release_instances()
                 names = set(self.directory.instances)
                 self._samplers.forget(names)
-                self._health.keep_only(names)
+                self.health.keep_only(names)
                 with trio.move_on_after(const.POOL_WATCH_S):
                     await self._changed.wait()
 
@@ -166,7 +170,7 @@
         runner = ItemRunner(
             self._samplers,
             self.forwarder,
-            self._health,
+            self.health,
             lambda host, path: self.directory.table.find_route(host, path),
             versions.observe,
             self.metrics,
@@ -178,7 +182,8 @@
             self.directory,
             runner,
             versions,
-            self._health,
+            self.health,
+            self.identity.keep_results_s,
             self._clocks,
             self.metrics,
             self._rng,
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -8,7 +8,8 @@
     """Say who a gateway is; `peer` is its address for other gateways.
 
     `lease_s` is how long a role outlives its holder, in seconds,
-    `value_bytes` the largest value that the key-value service keeps.
+    `value_bytes` the largest value that the key-value service keeps,
+    `keep_results_s` how long an ended submission can still be read.
     """
 
     name: str
@@ -16,3 +17,4 @@
     peer: str
     lease_s: float
     value_bytes: int
+    keep_results_s: float
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -7,11 +7,15 @@
 
 from ..adapters.gateway_peer.client import HttpGatewayPeer
 from ..adapters.gateway_peer.server import GatewayPeerHandler
+from ..adapters.http.client import Address
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import Exchange
 from ..adapters.http.server import HttpServer
+from ..admin.server import AdminHandler
 from . import const
+from ..helpers.explanations import Explanations
 from ..holding.clock import Clocks
+from ..holding.clock import read_boot_time
 from ..platform.directory import PLATFORM_KEYS
 from ..platform.samplers import PlatformSamplers
 from ..platform.settings import GatewaySettings
@@ -20,7 +24,10 @@
 from ..process.listening import serve_http
 from ..process.listening import wait_for_stop
 from ..telemetry.logs import log_event
+from ..telemetry.metrics import MetricsExporter
 from .coordinator import GatewayCoordinator
+from .diagnostics import dump_gateway
+from .diagnostics import GatewayDump
 from .models import GatewayIdentity
 from .reload import watch_settings
 
@@ -39,6 +46,7 @@
                 str(settings.peer),
                 settings.lease_s,
                 settings.value_bytes,
+                settings.keep_results_s,
             ),
             PLATFORM_KEYS,
             direct,
@@ -52,6 +60,17 @@
         self._peer_server = HttpServer(
             GatewayPeerHandler(reader.read_here, direct).handle
         )
+        self._exporter = MetricsExporter(
+            self.coordinator.metrics, settings.name
+        )
+        self._admin = HttpServer(
+            AdminHandler(
+                self._exporter,
+                Explanations(),
+                self._is_ready,
+                self._dump_state,
+            ).handle
+        )
         self._ready_server = HttpServer(self._answer_ready)
         self._draining = False
         self.coordinator.directory.subscribe(self._apply_limits)
@@ -71,6 +90,8 @@
             await nursery.start(serve_http, self._peer_server, settings.peer)
             if settings.listen is not None:
                 await nursery.start(serve_http, self._server, settings.listen)
+            admin = Address(settings.peer.host, const.ADMIN_PORT)
+            await nursery.start(serve_http, self._admin, admin)
             nursery.start_soon(watch_settings, settings)
             log_event("started", zone=settings.zone)
             await wait_for_stop()
@@ -81,10 +102,18 @@
         self, request: HttpRequest, exchange: Exchange
     ) -> None:
         """Answer whether new callers are welcome."""
-        ready = self.coordinator.is_ready(trio.current_time())
-        status = 200 if ready and not self._draining else 503
+        status = 200 if self._is_ready() else 503
         await exchange.send_whole(status, [], b"")
 
+    def _is_ready(self) -> bool:
+        """Return whether new callers are welcome."""
+        ready = self.coordinator.is_ready(trio.current_time())
+        return ready and not self._draining
+
+    def _dump_state(self, now: float) -> GatewayDump:
+        """Return the state."""
+        return dump_gateway(self.coordinator, now, read_boot_time())
+
     def _apply_limits(self) -> None:
         """Apply what the operator allows callers."""
         limits = self.coordinator.directory.table.limits
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -126,7 +126,10 @@
             arrived_at + max(0.0, limit_s - const.LIMIT_MARGIN_S),
             route.max_attempts,
         )
-        match await self._forwarder.forward(call):
+        outcome = await self._forwarder.forward(call)
+        took_s = trio.current_time() - arrived_at
+        self._metrics.observe("call", took_s)
+        match outcome:
             case Answered(status, headers, body):
                 await exchange.send_whole(status, headers, body)
             case Failed(Fault.NOT_RUN, detail):
@@ -164,7 +167,9 @@
         if caller.deadline_s is not None:
             share_s = caller.deadline_s * const.PATIENCE_SHARE
             patience_s = min(patience_s, share_s)
+        began_at = trio.current_time()
         accepted = await self._accept(submission, patience_s)
+        self._metrics.observe("accept", trio.current_time() - began_at)
         match accepted:
             case Ok(new):
                 log_event(
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -77,6 +77,7 @@
             checks.append(KvCheck(key, 0))
             puts.append(KvPut(key, encode_results(results)))
         transaction = KvTransaction(tuple(checks), tuple(puts))
+        began_at = self._read_now()
         while True:
             written = await self._kv.commit(transaction)
             if not isinstance(written, Err):
@@ -84,6 +85,7 @@
             self._metrics.count("commit_faults")
             await trio.sleep(const.COMMIT_RETRY_S * (0.5 + self._rng.random()))
         self._metrics.count("commits")
+        self._metrics.observe("commit", self._read_now() - began_at)
         if written.ok_value.won:
             for state, results in batch:
                 self._list(state, results)
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -49,5 +49,7 @@
 MOST_WAIT_S: Final = 1.0
 CACHED_SUBMISSIONS: Final = 256
 SWEEP_S: Final = 20.0
+# A transaction takes 32 rows.
+SWEEP_ROWS: Final = 30
 # Clocks of instances differ by some seconds.
 CLOCK_SLACK_S: Final = 6.0
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -31,6 +31,7 @@
 from .keys import read_submission_key
 from .models import Submission
 from .runner import ItemRunner
+from .sweeping import Sweeper
 
 
 class PoolCoordinator:
@@ -45,6 +46,7 @@
         runner: ItemRunner,
         versions: VersionCoordinator,
         health: InstanceHealth,
+        keep_s: float,
         clocks: Clocks,
         metrics: Metrics,
         rng: Random,
@@ -65,6 +67,9 @@
         self._checkpoints = CheckpointKeeper(
             pool, kv, self.board, archive.value_bytes, metrics
         )
+        self._sweeper = Sweeper(
+            kv, self.board, keep_s, clocks.read_wall_s, metrics
+        )
         self._kept: dict[str, Progress] = {}
         self._dispatcher = ItemDispatcher(
             self.board, directory, runner, versions, health, metrics
@@ -85,6 +90,7 @@
                 nursery.start_soon(self._load_submissions, receive, role)
                 nursery.start_soon(self._committer.run, role)
                 nursery.start_soon(self._checkpoints.run, role)
+                nursery.start_soon(self._sweeper.run, role)
                 nursery.start_soon(self._schedule, role, nursery)
         finally:
             self._loads = None
@@ -141,6 +147,7 @@
         ended = name in self._early_ends
         if ended and event.revision < role.fence:
             # What earlier holders listed of it is read from the record.
+            self._sweeper.note_ended(name, submission.arrived_s)
             return True
         table = self._directory.table
         route = table.find_route(submission.host, submission.path)
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -143,6 +143,8 @@
         streamed_at = trio.current_time()
         result = await self._finish(submission, state)
         now = trio.current_time()
+        self._metrics.observe("item", streamed_at - state.began_at)
+        self._metrics.observe("score", now - streamed_at)
         log_event(
             "item_finished",
             item=state.item.id,
--- a/packages/pistachiospar/src/pistachiospar/telemetry/const.py
+++ b/packages/pistachiospar/src/pistachiospar/telemetry/const.py
@@ -2,5 +2,20 @@
 
 from typing import Final
 
+# From a call within a zone to a step's results, in seconds.
+DURATION_BOUNDS_S: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+    7.5,
+    15.0,
+)
 METER_NAME: Final = "pistachiospar"
 CONTENT_TYPE_METRICS: Final = "text/plain; version=0.0.4; charset=utf-8"
--- a/packages/pistachiospar/src/pistachiospar/telemetry/metrics.py
+++ b/packages/pistachiospar/src/pistachiospar/telemetry/metrics.py
@@ -16,6 +16,7 @@
 from prometheus_client import generate_latest
 from prometheus_client import REGISTRY
 
+from .const import DURATION_BOUNDS_S
 from .const import METER_NAME
 
 Gauge = Callable[[], float]
@@ -28,6 +29,12 @@
         """Begin with no count."""
         self.counts: Counter[str] = Counter()
         self.gauges: dict[str, Gauge] = {}
+        self.record: Callable[[str, float], None] | None = None
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram, once an exporter is there."""
+        if self.record is not None:
+            self.record(name, seconds)
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a count."""
@@ -54,11 +61,21 @@
         meter.create_observable_gauge(
             "pistachiospar_state", [self._read_gauges]
         )
+        self._durations = meter.create_histogram(
+            "pistachiospar_duration",
+            unit="s",
+            explicit_bucket_boundaries_advisory=DURATION_BOUNDS_S,
+        )
+        metrics.record = self._record
 
     def render(self) -> bytes:
         """Return all metrics."""
         return generate_latest(REGISTRY)
 
+    def _record(self, name: str, seconds: float) -> None:
+        """Add a duration to its histogram."""
+        self._durations.record(seconds, {"of": name})
+
     def _read_counts(self, _: CallbackOptions) -> Iterable[Observation]:
         """Yield the counts."""
         for name, value in sorted(self._metrics.counts.items()):
