Bound logs: no waiting for a reader, no more than 300 lines of a kind a second

What is left out or dropped is counted. Each call has a line with its id, route, configuration, limit, time taken and outcome.

--- /dev/null
+++ b/features/steps/log_steps.py
@@ -0,0 +1,46 @@
+"""Steps on bounded logs."""
+
+from behave.runner import Context
+from behave import then
+from behave import when
+from support.log_cases import count_admitted
+from support.log_cases import LINE
+from support.log_cases import write_to_a_slow_reader
+
+MOST = 300
+
+
+@when("{count:d} lines of a kilobyte go to a reader that is late")
+def write_late(context: Context, count: int) -> None:
+    """Write lines that nobody reads yet."""
+    context.count = count
+    context.found = write_to_a_slow_reader(count)
+
+
+@then("the writer did not wait, and dropped and counted the rest")
+def check_dropped(context: Context) -> None:
+    """Check that what is not read was dropped."""
+    dropped, after, read = context.found
+    assert dropped == after > 0, context.found[:2]
+    assert dropped + len(read) // len(LINE) == context.count
+
+
+@then("what was kept is read whole, in order")
+def check_read(context: Context) -> None:
+    """Check that no line is torn."""
+    read = context.found[2]
+    assert read == LINE * (len(read) // len(LINE))
+
+
+@when("{lines:d} lines of a kind come in each of two seconds")
+def come_fast(context: Context, lines: int) -> None:
+    """Count what is admitted."""
+    context.lines = lines
+    context.found = count_admitted(MOST, lines)
+
+
+@then("each second writes {most:d} and counts what it leaves out")
+def check_admitted(context: Context, most: int) -> None:
+    """Compare."""
+    expected = (most, most, 2 * (context.lines - most))
+    assert context.found == expected, context.found
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -52,3 +52,12 @@
 
 
 Outcome = Answered | Failed
+
+
+def describe(outcome: Outcome) -> str:
+    """Say in a few words what came of a call."""
+    match outcome:
+        case Answered(status=status, instance=instance):
+            return f"{status} of {instance}"
+        case Failed(fault, detail):
+            return f"{fault.value}: {detail}"
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -15,6 +15,7 @@
 from ..directory.coordinator import Directory
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.models import Answered
+from ..forwarding.models import describe
 from ..forwarding.models import Failed
 from ..forwarding.models import Fault
 from ..forwarding.models import ForwardCall
@@ -129,6 +130,15 @@
         outcome = await self._forwarder.forward(call)
         took_s = trio.current_time() - arrived_at
         self._metrics.observe("call", took_s)
+        log_event(
+            "call_ended",
+            request=call.request_id,
+            route=route.name,
+            configuration=self._directory.table.version,
+            limit_s=round(limit_s, 3),
+            took_s=round(took_s, 4),
+            outcome=describe(outcome),
+        )
         match outcome:
             case Answered(status, headers, body):
                 await exchange.send_whole(status, headers, body)
--- a/packages/pistachiospar/src/pistachiospar/telemetry/const.py
+++ b/packages/pistachiospar/src/pistachiospar/telemetry/const.py
@@ -17,5 +17,9 @@
     7.5,
     15.0,
 )
+# A holder starts and finishes some 100 items a second.
+LINES_A_SECOND: Final = 300
+# Lines kept for a reader that is slow.
+KEPT_BYTES: Final = 1_048_576
 METER_NAME: Final = "pistachiospar"
 CONTENT_TYPE_METRICS: Final = "text/plain; version=0.0.4; charset=utf-8"
