Remember the instances that left, for entries that start later

Entries now write departures to the key-value service under a lease; a young one reads them before it serves keyed calls. Calls without a key never wait. Ruled out: a second record, a key a call, asking all entries (docs/DESIGN.md).

--- a/features/gone_instances.feature
+++ b/features/gone_instances.feature
@@ -4,7 +4,6 @@
     When a keyed record is retried after its instance went
     Then the record ran once
 
-  @known-red
   Scenario: the entry is younger than the loss
     When a keyed record is retried by an entry younger than the loss
     Then the record ran once
--- a/packages/pistachiospar/src/pistachiospar/entry/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/coordinator.py
@@ -13,6 +13,7 @@
 from ..live.models import EntryRecord
 from ..membership.coordinator import LinkFactory
 from ..membership.coordinator import MembershipCoordinator
+from ..membership.departures import DepartureRegistry
 from ..membership.lives import LifeRegistry
 from ..ports.instances import InstanceList
 from ..ports.kv import KeyValue
@@ -64,6 +65,7 @@
             self.keeper,
             self.live,
             LifeRegistry(kv),
+            DepartureRegistry(kv),
             read_wall_s,
             self.metrics,
             rng,
--- a/packages/pistachiospar/src/pistachiospar/membership/const.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/const.py
@@ -23,6 +23,10 @@
 GONE_MEMORY_S: Final = 300.0
 START_SLACK_S: Final = 10.0
 PREFIX_LIVES: Final = "/pistachiospar/lives/"
+PREFIX_DEPARTURES: Final = "/pistachiospar/departures/"
+# One entry's note is enough; the others see that it stands.
+DEPARTURE_JITTER_S: Final = 1.0
+DEPARTURE_RETRY_S: Final = 0.5
 LIFE_TTL_S: Final = 300
 LIFE_TIMEOUT_S: Final = 0.5
 
--- a/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/membership/coordinator.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from result import Err
+from result import Ok
 import trio
 
 from ..bundle.coordinator import BundleKeeper
@@ -17,6 +18,8 @@
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .attempts import find_quiet
+from .departures import Departure
+from .departures import DepartureRegistry
 from .lives import LifeRegistry
 from .models import InstanceView
 from .outliers import decide_ejection
@@ -37,12 +40,16 @@
         keeper: BundleKeeper,
         live: LiveCoordinator,
         lives: LifeRegistry,
+        departures: DepartureRegistry,
         read_wall_s: Callable[[], float],
         metrics: Metrics,
         rng: Random,
     ) -> None:
         """Begin with no link."""
         self._lives = lives
+        self._departures = departures
+        self._unwritten: list[Departure] = []
+        self.knows_departures = False
         self._read_wall_s = read_wall_s
         self._entry = entry
         self._instance_list = instance_list
@@ -78,12 +85,40 @@
     async def run(self) -> None:
         """Poll the list and run a task for each linked sidecar."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._learn_departures)
+            nursery.start_soon(self._write_departures)
             while True:
                 await self.poll_once(nursery)
                 self._ask_after_quiet(trio.current_time())
                 spread = 1.0 + const.POLL_JITTER * (self._rng.random() - 0.5)
                 await trio.sleep(const.POLL_S * spread)
 
+    async def _learn_departures(self) -> None:
+        """Read which instances left before this entry started."""
+        while True:
+            read = await self._departures.read()
+            if isinstance(read, Ok):
+                break
+            await trio.sleep(const.DEPARTURE_RETRY_S)
+        now, wall_s = trio.current_time(), self._read_wall_s()
+        for departure in read.ok_value:
+            if departure.instance in self.instances:
+                continue
+            age_s = max(0.0, wall_s - departure.at_s)
+            self.gone.setdefault(departure.instance, now - age_s)
+            self._gone_upstream[departure.instance] = departure.upstream
+        self.knows_departures = True
+
+    async def _write_departures(self) -> None:
+        """Write the departures that this entry saw; one task."""
+        while True:
+            await trio.sleep(const.DEPARTURE_JITTER_S * self._rng.random())
+            while self._unwritten:
+                if not await self._departures.write(self._unwritten[0]):
+                    break
+                self._unwritten.pop(0)
+            await trio.sleep(const.DEPARTURE_RETRY_S)
+
     async def poll_once(self, nursery: trio.Nursery) -> None:
         """Fetch the list; act when it or the entries changed."""
         answer = await self._instance_list.fetch_page(self._tag)
@@ -121,6 +156,10 @@
             if name not in found:
                 self.gone[name] = now
                 self._gone_upstream[name] = instance.upstream
+                wall_s = self._read_wall_s()
+                self._unwritten.append(
+                    Departure(name, instance.upstream, wall_s)
+                )
         for name in list(self.gone):
             expired = now - self.gone[name] > const.GONE_MEMORY_S
             if name in found or expired:
--- a/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/coordinator.py
@@ -125,6 +125,9 @@
         now = trio.current_time()
         upstream = request.upstream
         views = self._membership.list_views(upstream.name)
+        if request.pinned and not self._membership.knows_departures:
+            reason = "the instances that left are not known yet"
+            return NoInstance(reason, 1.0, True)
         if request.pinned:
             ttl_s = 2.0 * upstream.max_timeout_ms / MS_PER_S
             gone = self._membership.list_gone(upstream.name, now, ttl_s)
