Refuse a call that no instance takes after three fifths of its time

Found by the new table of cases (no instance is reached): the call was held to its limit and then called in doubt, because an attempt was under way. It is refused as not run, with a time to come back, while its caller still has time.

--- /dev/null
+++ b/features/support/gateway_cases.py
@@ -0,0 +1,218 @@
+"""Support cases of a small fleet of gateways, in virtual time."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+
+from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.submissions.models import Submission
+from pistachiospar_standins.fakes.fleet import run_virtual
+from pistachiospar_standins.fakes.gateways import APP
+from pistachiospar_standins.fakes.gateways import GatewayFleet
+from pistachiospar_standins.fakes.gateways import GatewayPlan
+from pistachiospar_standins.fakes.gateways import HOST
+from pistachiospar_standins.fakes.gateways import PLAIN_PREFIX
+from pistachiospar_standins.fakes.gateways import ROLLOUT_PREFIX
+import trio
+
+from .submission_stories import end
+from .submission_stories import make_item
+from .submission_stories import read_some
+from .submission_stories import SubmissionStory
+from .submission_stories import submit
+
+LIMIT_S = 120.0
+
+
+def make_story(name: str, items: int) -> SubmissionStory:
+    """Make a submission of model m0 in groups of three."""
+    return SubmissionStory(
+        Submission(
+            name,
+            HOST,
+            f"{ROLLOUT_PREFIX}m0/",
+            "m0",
+            0,
+            1,
+            2,
+            [
+                make_item(f"{name}-{number}", "m0", f"g{number // 3}")
+                for number in range(items)
+            ],
+            0.0,
+        )
+    )
+
+
+async def call_plain(
+    fleet: GatewayFleet, call_id: str, deadline_ms: int = 2000
+) -> tuple[int, float]:
+    """Make a plain call at the first gateway; return status and seconds."""
+    request = HttpRequest(
+        "POST",
+        PLAIN_PREFIX + "x",
+        "",
+        {
+            "host": HOST,
+            "request-id": call_id,
+            "deadline-ms": str(deadline_ms),
+        },
+        b"body",
+    )
+    began_at = trio.current_time()
+    answer = await fleet.ask("g0", request)
+    took_s = trio.current_time() - began_at
+    return (answer.status if answer else 0), took_s
+
+
+async def dead_sampler(fleet: GatewayFleet) -> bool:
+    """All places but a dead instance's are taken for a while."""
+    fleet.world.samplers["s0"].faults.down = True
+    story = make_story("crowd", 60)
+    await submit(fleet, story, Random(1))
+    holder = fleet.running[fleet.find_holder() or "g0"]
+    await trio.sleep(3.0)
+    lost = holder.coordinator.metrics.counts["item_attempts_lost"]
+    return lost <= 12
+
+
+async def turned_away_holder(fleet: GatewayFleet) -> bool:
+    """The store refuses the holder for long; peers call for it."""
+    name = fleet.find_holder()
+    assert name is not None
+    fleet.running[name].kv.faults.down = True
+    story = make_story("kept", 6)
+    await submit(fleet, story, Random(2))
+    await trio.sleep(6.0)
+    page = await read_some(fleet, story, Random(3))
+    done = page is not None and page.total == 6
+    return done and fleet.find_holder() == name
+
+
+async def short_outage(fleet: GatewayFleet) -> bool:
+    """A submission comes while the store is away for three seconds."""
+    for running in fleet.running.values():
+        running.kv.faults.down = True
+    story = make_story("patient", 3)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit, fleet, story, Random(1))
+        await trio.sleep(3.0)
+        for running in fleet.running.values():
+            running.kv.faults.down = False
+    return story.accepted
+
+
+async def long_outage(fleet: GatewayFleet) -> bool:
+    """A submission is refused, with a time to come back, and never runs."""
+    for running in fleet.running.values():
+        running.kv.faults.down = True
+    story = make_story("refused", 3)
+    await submit(fleet, story, Random(1))
+    for running in fleet.running.values():
+        running.kv.faults.down = False
+    await trio.sleep(5.0)
+    names = {item.id for item in story.submission.items}
+    ran = [run for run in fleet.world.runs if run.call_id in names]
+    return not story.accepted and story.refused and not ran
+
+
+async def slow_instance(fleet: GatewayFleet) -> bool:
+    """One of two instances of the plain service hardly answers."""
+    fleet.world.samplers["a0"].faults.slow = 40.0
+    found = [await call_plain(fleet, f"c{n}") for n in range(6)]
+    return all(status == 200 and took_s < 0.4 for status, took_s in found)
+
+
+async def dead_service(fleet: GatewayFleet) -> bool:
+    """No instance of the plain service can be reached."""
+    for name, sampler in fleet.world.samplers.items():
+        sampler.faults.down = name.startswith("a")
+    status, took_s = await call_plain(fleet, "c1", deadline_ms=800)
+    return status == 503 and took_s <= 0.8
+
+
+async def silent_service(fleet: GatewayFleet) -> bool:
+    """All instances run the call and do not answer in time."""
+    for sampler in fleet.world.samplers.values():
+        sampler.faults.slow = 500.0
+    status, took_s = await call_plain(fleet, "c1", deadline_ms=800)
+    return status == 504 and took_s <= 0.8
+
+
+async def young_gateway(fleet: GatewayFleet) -> bool:
+    """A call comes to a gateway that starts this moment."""
+    fleet.kill_gateway("g0")
+    fleet.start_gateway("g0")
+    status, _ = await call_plain(fleet, "c1")
+    return status == 200
+
+
+async def swept(fleet: GatewayFleet) -> bool:
+    """An ended submission is readable for its time, then removed."""
+    story = make_story("swept", 3)
+    await submit(fleet, story, Random(1))
+    await trio.sleep(3.0)
+    await end(fleet, story, Random(1))
+    await trio.sleep(5.0)
+    kept = await read_some(fleet, story, Random(1)) is not None
+    await trio.sleep(40.0)
+    left = [key for key in fleet.store.items if "swept" in key]
+    return kept and not left
+
+
+async def crash_midway(fleet: GatewayFleet) -> bool:
+    """The holder dies; the next one goes on from its checkpoint."""
+    for sampler in fleet.world.samplers.values():
+        sampler.faults.slow = 6.0
+    story = make_story("long", 6)
+    await submit(fleet, story, Random(1))
+    await trio.sleep(2.5)
+    holder = fleet.find_holder()
+    assert holder is not None
+    fleet.kill_gateway(holder)
+    await trio.sleep(8.0)
+    adopted = sum(
+        running.coordinator.metrics.counts["items_adopted"]
+        for running in fleet.running.values()
+    )
+    return adopted > 0
+
+
+async def removed_sampler(fleet: GatewayFleet) -> bool:
+    """An instance that left the list gets nothing a second later."""
+    fleet.remove_sampler("s0")
+    await trio.sleep(1.2)
+    story = make_story("after", 12)
+    await submit(fleet, story, Random(1))
+    await trio.sleep(4.0)
+    late = [r for r in fleet.world.runs if r.instance == "s0"]
+    return not late and len(fleet.world.samplers) > 1 and bool(APP)
+
+
+CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
+    "a dead sampler is not asked again and again": dead_sampler,
+    "a holder that the store refuses stays holder": turned_away_holder,
+    "a submission waits for a store that is away shortly": short_outage,
+    "a submission that is refused never runs": long_outage,
+    "a slow instance costs half a target": slow_instance,
+    "no instance is reached: refused in time": dead_service,
+    "no answer in time: in doubt, in time": silent_service,
+    "a gateway that starts does not refuse": young_gateway,
+    "an ended submission is removed after its time": swept,
+    "a holder's work outlives it": crash_midway,
+    "a sampler off the list gets no work": removed_sampler,
+}
+
+
+def run_case(name: str) -> bool:
+    """Run a case on three gateways."""
+
+    async def work() -> bool:
+        fleet = GatewayFleet(GatewayPlan(seed=5, keep_s=20.0))
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            kept = await CASES[name](fleet)
+            nursery.cancel_scope.cancel()
+        return kept
+
+    return run_virtual(work, 5, LIMIT_S)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -15,6 +15,8 @@
 MILD_FAILURES: Final = 3
 # Weight of the newest duration in the running mean.
 PACE_WEIGHT: Final = 0.2
+# A call that no instance takes is refused after this share of its time.
+HOPE_SHARE: Final = 0.6
 FULL_PAUSE_S: Final = 0.03
 LOAD_AGE_S: Final = 0.5
 RETRY_AFTER_S: Final = 0.1
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -44,6 +44,10 @@
     detail: str = "no instance"
     scopes: list[trio.CancelScope] = field(default_factory=list)
 
+    def is_hopeless(self) -> bool:
+        """Return whether certainly nothing ran and nothing is under way."""
+        return not (self.running or self.maybe_run or self.spare)
+
     def end_by(self, at: float) -> None:
         """End the attempts that still run at a time, in seconds."""
         for scope in self.scopes:
@@ -140,7 +144,11 @@
     ) -> Outcome | None:
         """Start attempts until one brings an answer, or none may start."""
         call = race.call
+        left_s = call.give_up_at - trio.current_time()
+        refuse_at = trio.current_time() + left_s * const.HOPE_SHARE
         while True:
+            if race.is_hopeless() and trio.current_time() >= refuse_at:
+                return None
             if race.running == 0 or self._may_hedge(race):
                 started = self._start(race)
                 if not started and race.running == 0:
