Forward streams as they come, bound what callers' bodies and connections take

A stream goes on at another instance after its last whole event where its route allows it, under the head of its first; else it is left unfinished. Connections and bodies being read are bounded by the settings' descriptors and memory.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -51,3 +51,5 @@
       | an ended submission is removed after its time       |
       | a holder's work outlives it                         |
       | a sampler off the list gets no work                 |
+      | a stream that breaks off goes on elsewhere          |
+      | a stream that may not go on never looks whole       |
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -13,6 +13,9 @@
 from pistachiospar_standins.fakes.gateways import HOST
 from pistachiospar_standins.fakes.gateways import PLAIN_PREFIX
 from pistachiospar_standins.fakes.gateways import ROLLOUT_PREFIX
+from pistachiospar_standins.fakes.gateways import STREAM_PREFIX
+from pistachiospar_standins.fakes.samplers import make_output
+from pistachiospar_standins.fakes.sinks import AnswerExchange
 import trio
 
 from .submission_stories import end
@@ -58,6 +61,7 @@
             "deadline-ms": str(deadline_ms),
         },
         b"body",
+        target=PLAIN_PREFIX + "x",
     )
     began_at = trio.current_time()
     answer = await fleet.ask("g0", request)
@@ -189,6 +193,67 @@
     return not late and len(fleet.world.samplers) > 1 and bool(APP)
 
 
+async def call_stream(fleet: GatewayFleet, call_id: str) -> AnswerExchange:
+    """Ask for a stream at the first gateway."""
+    request = HttpRequest(
+        "POST",
+        f"{STREAM_PREFIX}m0/x",
+        "",
+        {"host": HOST, "request-id": call_id, "deadline-ms": "9000"},
+        target=f"{STREAM_PREFIX}m0/x",
+    )
+    exchange = AnswerExchange()
+    handler = fleet.running["g0"].coordinator.handler
+    with trio.move_on_after(10.0):
+        await handler.handle(request, exchange)
+    return exchange
+
+
+def join_events(call_id: str) -> bytes:
+    """Return the whole stream of a call."""
+    output = make_output(call_id)
+    return b"".join(
+        f"id: {number}\ndata: {data}\n\n".encode()
+        for number, data in enumerate(output, start=1)
+    )
+
+
+async def broken_stream(fleet: GatewayFleet) -> bool:
+    """Streams break off again and again, and may go on elsewhere."""
+    for sampler in fleet.world.samplers.values():
+        sampler.faults.cut_share = 0.08
+    kept = 0
+    for number in range(20):
+        answer = await call_stream(fleet, f"c{number}")
+        whole = join_events(f"c{number}")
+        if answer.answers > 1 or not whole.startswith(answer.body):
+            return False
+        if answer.whole and answer.status == 200:
+            kept += 1
+            if answer.body != whole:
+                return False
+    return kept >= 15
+
+
+async def final_stream(fleet: GatewayFleet) -> bool:
+    """Streams that may not go on break off: none looks whole, none twice."""
+    fleet.plan.resumable = False
+    fleet.write_configuration()
+    await trio.sleep(1.0)
+    for sampler in fleet.world.samplers.values():
+        sampler.faults.cut_share = 0.3
+    for number in range(12):
+        call_id = f"c{number}"
+        answer = await call_stream(fleet, call_id)
+        looks_whole = answer.whole and answer.status == 200
+        if looks_whole and answer.body != join_events(call_id):
+            return False
+        runs = [r for r in fleet.world.runs if r.call_id == call_id]
+        if len(runs) > 1 or (answer.status == 503 and runs):
+            return False
+    return True
+
+
 CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
     "a dead sampler is not asked again and again": dead_sampler,
     "a holder that the store refuses stays holder": turned_away_holder,
@@ -201,6 +266,8 @@
     "an ended submission is removed after its time": swept,
     "a holder's work outlives it": crash_midway,
     "a sampler off the list gets no work": removed_sampler,
+    "a stream that breaks off goes on elsewhere": broken_stream,
+    "a stream that may not go on never looks whole": final_stream,
 }
 
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
@@ -31,6 +31,7 @@
 ROLLOUT_PREFIX = "/rollout/"
 SCORE_PREFIX = "/score/"
 PLAIN_PREFIX = "/plain/"
+STREAM_PREFIX = "/stream/"
 LEASE_S = 3.0
 VALUE_BYTES = 1_048_576
 LIST_S = 0.3
@@ -60,6 +61,7 @@
     single_version: bool = False
     give_up_s: float = 40.0
     keep_s: float = 120.0
+    resumable: bool = True
     faults: KvFaultSet = field(default_factory=KvFaultSet)
 
 
@@ -201,6 +203,11 @@
         routes = [
             _make_route("plain", PLAIN_PREFIX, "safe", APP),
             _make_route("score", SCORE_PREFIX, "safe", APP),
+            {
+                **_make_route("stream", STREAM_PREFIX, "safe", POOL),
+                "stream": True,
+                "resumable": self.plan.resumable,
+            },
             {
                 **_make_route("roll", ROLLOUT_PREFIX, "rollout", POOL),
                 "resultDueMs": 7500,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -29,6 +29,7 @@
 LOAD_S = 0.9
 LATE_S = 4.0
 PLAIN_S = 0.03
+STREAMED = ("/rollout/", "/stream/")
 
 
 @dataclass(slots=True)
@@ -246,7 +247,7 @@
         self._world.runs.append(record)
         if self._world.rng.random() < sampler.faults.error_share:
             return FakeAnswer(500)
-        if not call.target.startswith("/rollout/"):
+        if not call.target.startswith(STREAMED):
             await trio.sleep(PLAIN_S * sampler.faults.slow)
             self._maybe_cut(sampler)
             body = b"answer to " + call.body
@@ -275,7 +276,9 @@
             made.setdefault(number, set()).add(version)
             changed = version if version != told else None
             told = version
-            yield StreamEvent(number, output[number - 1], changed)
+            data = output[number - 1]
+            raw = f"id: {number}\ndata: {data}\n\n".encode()
+            yield StreamEvent(number, data, changed, raw)
         self._world.ended_at[call.request_id] = trio.current_time()
 
     def _maybe_cut(self, sampler: FakeSampler) -> None:
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -13,9 +13,12 @@
 from ...const import OUTCOME_UNKNOWN
 from ...helpers.problems import Problem
 from ...helpers.problems import refuse_input
+from ...helpers.problems import refuse_not_run
 from ...telemetry.logs import log_event
 from .const import IDLE_TIMEOUT_S
 from .const import MAX_BODY_BYTES
+from .const import MAX_BUFFERED_BYTES
+from .const import MAX_CONNECTIONS
 from .const import MAX_HEAD_BYTES
 from .const import READ_TIMEOUT_S
 from .const import RECEIVE_BYTES
@@ -94,17 +97,29 @@
         self._head = self._connection.send(response) or b""
 
 
+@dataclass(slots=True)
+class Buffered:
+    """Hold how many bytes a request's body takes."""
+
+    size: int = 0
+
+
 Handler = Callable[[HttpRequest, Exchange], Awaitable[None]]
 
 
 @dataclass(slots=True)
 class ServerLimits:
-    """Bound what a caller may send and how long it may take, in seconds."""
+    """Bound what callers may send and how long they may take, in seconds.
+
+    `max_connections` and `max_buffered_bytes` hold for all of them together.
+    """
 
     max_head_bytes: int = MAX_HEAD_BYTES
     max_body_bytes: int = MAX_BODY_BYTES
     read_timeout_s: float = READ_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    max_connections: int = MAX_CONNECTIONS
+    max_buffered_bytes: int = MAX_BUFFERED_BYTES
 
 
 class HttpServer:
@@ -119,6 +134,8 @@
         self._idle: set[trio.CancelScope] = set()
         self.stopping = False
         self.active = 0
+        self.connections = 0
+        self._buffered = 0
 
     def stop(self) -> None:
         """Close idle connections; the others close after their answer."""
@@ -128,6 +145,11 @@
 
     async def handle_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends."""
+        if self.connections >= self.limits.max_connections:
+            # Not read, so that the caller may come again elsewhere.
+            await trio.aclose_forcefully(stream)
+            return
+        self.connections += 1
         connection = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self.limits.max_head_bytes,
@@ -143,15 +165,29 @@
         ):
             pass
         finally:
+            self.connections -= 1
             await trio.aclose_forcefully(stream)
 
     async def _serve_one(
         self, connection: h11.Connection, stream: trio.abc.Stream
     ) -> bool:
         """Serve one request; return whether the connection lives on."""
+        held = Buffered()
+        try:
+            return await self._serve_buffered(connection, stream, held)
+        finally:
+            self._buffered -= held.size
+
+    async def _serve_buffered(
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        held: "Buffered",
+    ) -> bool:
+        """Serve one request whose body counts against the bound."""
         exchange = Exchange(connection, stream, lambda: self.stopping)
         try:
-            request = await self._read_request(connection, stream)
+            request = await self._read_request(connection, stream, held)
         except h11.RemoteProtocolError as error:
             await self._refuse(exchange, connection, error)
             return False
@@ -237,7 +273,10 @@
             scope.cancel()
 
     async def _read_request(
-        self, connection: h11.Connection, stream: trio.abc.Stream
+        self,
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+        held: "Buffered",
     ) -> HttpRequest | Problem | None:
         """Read a whole request; None when the caller is gone."""
         head: h11.Request | None = None
@@ -256,6 +295,10 @@
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
+                held.size += len(event.data)
+                self._buffered += len(event.data)
+                if self._buffered > self.limits.max_buffered_bytes:
+                    return refuse_not_run("busy", "too much is being read")
                 if len(body) > self.limits.max_body_bytes:
                     detail = f"over {self.limits.max_body_bytes} bytes"
                     return refuse_input("oversized-body", detail, 413)
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -13,7 +13,11 @@
 # At this time before the caller's limit the last answer goes out.
 LIMIT_MARGIN_S: Final = 0.03
 POOL_WATCH_S: Final = 1.0
-DESCRIPTOR_RESERVE: Final = 264
+# Files, listeners, the store and peers; half of the rest is for callers, the
+# other half for instances.
+OWN_DESCRIPTORS: Final = 300
+# Bodies that are being read, of the memory that the settings allow.
+BUFFER_SHARE: Final = 0.3
 GC_THRESHOLD: Final = 50_000
 # A gateway that starts knows its configuration within some 10 ms.
 STARTING_S: Final = 0.4
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -12,6 +12,7 @@
 from ..directory.models import DirectoryKeys
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
+from ..forwarding.streams import StreamForwarder
 from ..holding.clock import Clocks
 from ..holding.coordinator import HolderCoordinator
 from ..holding.lease import RoleKeeper
@@ -91,6 +92,7 @@
         self.handler = GatewayHandler(
             self.directory,
             self.forwarder,
+            StreamForwarder(samplers, self.forwarder, self.health, rng),
             self._archive,
             self.reader,
             clocks.read_wall_s,
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -13,6 +13,7 @@
 from ..adapters.http.server import HttpServer
 from ..admin.server import AdminHandler
 from . import const
+from ..const import MEBIBYTE
 from ..helpers.explanations import Explanations
 from ..holding.clock import Clocks
 from ..holding.clock import read_boot_time
@@ -57,6 +58,10 @@
             Random(),
         )
         self._server = HttpServer(self.coordinator.handler.handle)
+        limits = self._server.limits
+        limits.max_connections = count_callers(settings.max_descriptors)
+        memory_bytes = settings.memory_mb * MEBIBYTE
+        limits.max_buffered_bytes = int(memory_bytes * const.BUFFER_SHARE)
         reader = self.coordinator.reader
         self._peer_server = HttpServer(
             GatewayPeerHandler(reader.read_here, direct).handle
@@ -138,3 +143,8 @@
         while self._server.active and trio.current_time() < end_at:
             await trio.sleep(DRAIN_POLL_S)
         log_event("stopped", cut=self._server.active)
+
+
+def count_callers(max_descriptors: int) -> int:
+    """Return how many callers' connections fit beside the gateway's own."""
+    return max(1, (max_descriptors - const.OWN_DESCRIPTORS) // 2)
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -19,6 +19,8 @@
 from ..forwarding.models import Failed
 from ..forwarding.models import Fault
 from ..forwarding.models import ForwardCall
+from ..forwarding.models import Outcome
+from ..forwarding.streams import StreamForwarder
 from ..helpers.problems import Problem
 from ..helpers.problems import refuse_input
 from ..helpers.problems import refuse_not_run
@@ -54,6 +56,7 @@
         self,
         directory: Directory,
         forwarder: Forwarder,
+        streams: StreamForwarder,
         archive: Archive,
         reader: SubmissionReader,
         read_wall_s: Callable[[], float],
@@ -62,6 +65,7 @@
         """Take the parts that do the work."""
         self._directory = directory
         self._forwarder = forwarder
+        self._streams = streams
         self._archive = archive
         self._reader = reader
         self._read_wall_s = read_wall_s
@@ -127,7 +131,12 @@
             arrived_at + max(0.0, limit_s - const.LIMIT_MARGIN_S),
             route.max_attempts,
         )
-        outcome = await self._forwarder.forward(call)
+        if route.stream:
+            outcome: Outcome | None = await self._streams.forward(
+                call, exchange
+            )
+        else:
+            outcome = await self._forwarder.forward(call)
         took_s = trio.current_time() - arrived_at
         self._metrics.observe("call", took_s)
         log_event(
@@ -137,9 +146,11 @@
             configuration=self._directory.table.version,
             limit_s=round(limit_s, 3),
             took_s=round(took_s, 4),
-            outcome=describe(outcome),
+            outcome=describe(outcome) if outcome else "streamed",
         )
         match outcome:
+            case None:
+                return
             case Answered(status, headers, body):
                 await exchange.send_whole(status, headers, body)
             case Failed(Fault.NOT_RUN, detail):
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -279,4 +279,4 @@
             version = _read_number(value)
     if number is None:
         return None
-    return StreamEvent(number, "\n".join(data), version)
+    return StreamEvent(number, "\n".join(data), version, block + b"\n\n")
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -43,11 +43,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """Hold one event; `version` is set where the weights changed."""
+    """Hold one event; `version` is set where the weights changed.
+
+    `raw` has its bytes as they came, to be passed on.
+    """
 
     number: int
     data: str
     version: int | None = None
+    raw: bytes = b""
 
 
 class SamplerAnswer(Protocol):
