--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,21 @@
+"""Steps on a short soak of real processes."""
+
+from behave import then
+from behave import when
+from behave.runner import Context
+from bench.soak import run_soak
+
+LANE = 77
+
+
+@when("gateways are soaked for {seconds:g} s with seed {seed:d}")
+def soak_shortly(context: Context, seconds: float, seed: int) -> None:
+    """Run one seed."""
+    context.tale = run_soak(seed, seconds, LANE)
+
+
+@then("what callers and instances saw keeps every promise")
+def check_soak(context: Context) -> None:
+    """Check the promises, and that the soak was no empty one."""
+    assert not context.tale.broken, context.tale.find_broken()
+    assert context.tale.listed > 0
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateways.py
@@ -104,6 +104,7 @@
         self.world = SamplerWorld(self.rng)
         self.running: dict[str, RunningGateway] = {}
         self.apart: set[str] = set()
+        self.places: dict[str, str] = {}
         self.version = 0
         self._nursery: trio.Nursery | None = None
         self._lives = 0
@@ -253,7 +254,7 @@
         value = msgspec.json.encode(
             {
                 "service": upstream,
-                "address": "127.0.0.1:1",
+                "address": self.places.get(name, "127.0.0.1:1"),
                 "zone": "zone",
                 "slots": sampler.slots,
                 "state": "ready",
