--- a/packages/pistachioctl/src/pistachioctl/cli.py
+++ b/packages/pistachioctl/src/pistachioctl/cli.py
@@ -14,6 +14,7 @@
 from . import const
 from . import keys
 from . import processes
+from . import traces
 from .output import print_report
 from .output import Report
 
@@ -79,6 +80,11 @@
     return await processes.explain(options.address, options.request_id)
 
 
+async def run_trace(options: argparse.Namespace) -> Report:
+    """Run `trace`."""
+    return traces.trace(options.id, options.files)
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Make the parser."""
     parser = argparse.ArgumentParser(
@@ -115,6 +121,11 @@
     )
     explain.add_argument("address", type=check_address, help="an admin port")
     explain.add_argument("request_id")
+    trace = _add(
+        commands, "trace", run_trace, "walk logs from an id to its cause"
+    )
+    trace.add_argument("id", help="of a request, submission or item")
+    trace.add_argument("files", nargs="+", metavar="FILE")
     return parser
 
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -1,20 +1,18 @@
 """Support the key-value port in memory, with faults."""
 
 from collections.abc import AsyncGenerator
-from collections.abc import Sequence
 from collections import Counter
 from dataclasses import dataclass
 
 from pistachiospar.adapters.etcd.models import end_of_prefix
-from pistachiospar.ports.kv import KvCheck
 from pistachiospar.ports.kv import KvError
 from pistachiospar.ports.kv import KvEvent
 from pistachiospar.ports.kv import KvFault
 from pistachiospar.ports.kv import KvItem
-from pistachiospar.ports.kv import KvPut
 from pistachiospar.ports.kv import KvTransaction
 from pistachiospar.ports.kv import KvWrite
 from pistachiospar.ports.kv import WATCH_WAIT_S
+from pistachiospar.storing.base import CommittingKeyValue
 from result import Err
 from result import Ok
 from result import Result
@@ -42,7 +40,7 @@
     silent_watch: bool = False
 
 
-class FakeKeyValue:
+class FakeKeyValue(CommittingKeyValue):
     """Serve one client of a shared store."""
 
     def __init__(self, store: Store, faults: KvFaultSet) -> None:
@@ -85,20 +83,6 @@
         items = self._read(prefix, end)
         return Ok(max((item.revision for item in items), default=0))
 
-    async def put_if(
-        self,
-        key: str,
-        value: bytes,
-        expected: int,
-        lease: int = 0,
-        also: Sequence[KvPut] = (),
-    ) -> Result[KvWrite, KvError]:
-        """Write if the key's revision is as expected; 0 means absent."""
-        puts = (KvPut(key, value, lease), *also)
-        return await self.commit(
-            KvTransaction((KvCheck(key, expected),), puts)
-        )
-
     async def commit(
         self, transaction: KvTransaction
     ) -> Result[KvWrite, KvError]:
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -1,7 +1,6 @@
 """Support the key-value port over the etcd v3 HTTP/JSON gateway."""
 
 from collections.abc import AsyncGenerator
-from collections.abc import Sequence
 from math import ceil
 from typing import TypeVar
 
@@ -11,15 +10,14 @@
 from result import Result
 import trio
 
-from ...ports.kv import KvCheck
 from ...ports.kv import KvError
 from ...ports.kv import KvEvent
 from ...ports.kv import KvFault
 from ...ports.kv import KvItem
-from ...ports.kv import KvPut
 from ...ports.kv import KvTransaction
 from ...ports.kv import KvWrite
 from ...ports.kv import WATCH_WAIT_S
+from ...storing.base import CommittingKeyValue
 from . import const
 from ..http.client import Address
 from ..http.client import HttpPool
@@ -30,7 +28,7 @@
 Message = TypeVar("Message")
 
 
-class EtcdKeyValue:
+class EtcdKeyValue(CommittingKeyValue):
     """Reach the key-value service; counts its calls."""
 
     def __init__(self, address: Address) -> None:
@@ -68,20 +66,6 @@
             lambda got: int(got.kvs[0].mod_revision) if got.kvs else 0
         )
 
-    async def put_if(
-        self,
-        key: str,
-        value: bytes,
-        expected: int,
-        lease: int = 0,
-        also: Sequence[KvPut] = (),
-    ) -> Result[KvWrite, KvError]:
-        """Write if the key's revision is as expected; 0 means absent."""
-        puts = (KvPut(key, value, lease), *also)
-        return await self.commit(
-            KvTransaction((KvCheck(key, expected),), puts)
-        )
-
     async def commit(
         self, transaction: KvTransaction
     ) -> Result[KvWrite, KvError]:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -5,8 +5,6 @@
 # A second try starts when this share of the target passed without answer.
 HEDGE_SHARE: Final = 0.6
 HEDGE_LEAST_S: Final = 0.06
-# The answer that gives up leaves this much before the caller's limit.
-GIVE_UP_MARGIN_S: Final = 0.01
 # An instance answers for itself when the time it was given is over.
 LINGER_S: Final = 0.3
 # An instance that failed is avoided for a while, longer each time.
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -108,6 +108,8 @@
             return race.spare
         maybe_run = race.maybe_run or race.running > 0
         fault = Fault.LOST if maybe_run else Fault.NOT_RUN
+        if race.running:
+            race.detail = f"{race.running} attempts had no answer in time"
         log_event(
             "call_given_up",
             request=call.request_id,
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -9,7 +9,6 @@
 DRAIN_MARGIN_S: Final = 1.0
 HANDOVER_S: Final = 1.5
 RETRY_AFTER_S: Final = 0.2
-DEFAULT_DEADLINE_S: Final = 30.0
 # At this time before the caller's limit the last answer goes out.
 LIMIT_MARGIN_S: Final = 0.03
 POOL_WATCH_S: Final = 1.0
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -238,9 +238,11 @@
         )
         if isinstance(found, Err):
             problem = refuse_not_run("store-away", found.err_value.detail)
-            await self._refuse(exchange, caller, problem)
+            await self._refuse(exchange, caller, problem, call.submission)
         elif found.ok_value is None:
-            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+            await self._refuse(
+                exchange, caller, _UNKNOWN_SUBMISSION, call.submission
+            )
         else:
             body = encode_results(found.ok_value, call.after)
             await exchange.send_whole(200, _JSON, body)
@@ -252,9 +254,11 @@
         found = await self._reader.read_body(call.submission, call.item)
         if isinstance(found, Err):
             problem = refuse_not_run("store-away", found.err_value.detail)
-            await self._refuse(exchange, caller, problem)
+            await self._refuse(exchange, caller, problem, call.submission)
         elif found.ok_value is None:
-            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+            await self._refuse(
+                exchange, caller, _UNKNOWN_SUBMISSION, call.submission
+            )
         else:
             await exchange.send_whole(200, [], found.ok_value)
 
@@ -264,7 +268,9 @@
         """End a submission; the end is durable before the answer."""
         known = await self._reader.exists(submission)
         if isinstance(known, Ok) and not known.ok_value:
-            await self._refuse(exchange, caller, _UNKNOWN_SUBMISSION)
+            await self._refuse(
+                exchange, caller, _UNKNOWN_SUBMISSION, submission
+            )
             return
         until = trio.current_time() + const.END_PATIENCE_S
         while isinstance(known, Ok):
@@ -276,16 +282,21 @@
                 break
             await trio.sleep(const.STORE_RETRY_S)
         problem = refuse_not_run("store-away", "the end is not kept")
-        await self._refuse(exchange, caller, problem)
+        await self._refuse(exchange, caller, problem, submission)
 
     async def _refuse(
-        self, exchange: CallerSink, caller: CallerRequest, problem: Problem
+        self,
+        exchange: CallerSink,
+        caller: CallerRequest,
+        problem: Problem,
+        submission: str = "",
     ) -> None:
         """Send a refusal and log what decided it."""
         self._metrics.count(f"refused_{problem.kind}")
         log_event(
             "request_refused",
             request=caller.id,
+            submission=submission,
             status=problem.status,
             kind=problem.kind,
             detail=problem.detail,
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -211,10 +211,6 @@
         for name in [name for name in self._pools if name not in kept]:
             self._pools.pop(name).close()
 
-    def count_connects(self) -> int:
-        """Return how many connections were made to known samplers."""
-        return sum(pool.connects for pool in self._pools.values())
-
     def _find_pool(self, instance: ListedInstance) -> HttpPool:
         """Return the connections to an instance, not to its address."""
         pool = self._pools.get(instance.name)
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -2,8 +2,6 @@
 
 from base64 import b64decode
 from base64 import b64encode
-from collections.abc import AsyncGenerator
-from collections.abc import Sequence
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -18,15 +16,14 @@
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import HttpError
 from . import const
-from ..ports.kv import KvCheck
 from ..ports.kv import KvError
 from ..ports.kv import KvEvent
 from ..ports.kv import KvFault
 from ..ports.kv import KvItem
-from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..ports.kv import KvWrite
 from ..ports.kv import WATCH_WAIT_S
+from ..storing.base import PolledKeyValue
 
 Message = TypeVar("Message")
 
@@ -98,7 +95,7 @@
     lease: int = 0
 
 
-class PlatformKeyValue:
+class PlatformKeyValue(PolledKeyValue):
     """Reach the platform's store; counts its calls."""
 
     def __init__(self, address: Address) -> None:
@@ -140,36 +137,6 @@
             return Ok(None)
         return _decode(body, ItemAnswer).map(_read_item)
 
-    async def find_newest(self, prefix: str) -> Result[int, KvError]:
-        """Return the newest revision below a prefix, 0 for none."""
-        answer = await self.list_items(prefix)
-        return answer.map(
-            lambda got: max((item.revision for item in got[0]), default=0)
-        )
-
-    async def put_if(
-        self,
-        key: str,
-        value: bytes,
-        expected: int,
-        lease: int = 0,
-        also: Sequence[KvPut] = (),
-    ) -> Result[KvWrite, KvError]:
-        """Write if the key's revision is as expected; 0 means absent."""
-        puts = (KvPut(key, value, lease), *also)
-        return await self.commit(
-            KvTransaction((KvCheck(key, expected),), puts)
-        )
-
-    async def put_item(
-        self, key: str, value: bytes, lease: int = 0
-    ) -> Result[int, KvError]:
-        """Write without condition; return the store's revision."""
-        answer = await self.commit(
-            KvTransaction((), (KvPut(key, value, lease),))
-        )
-        return answer.map(lambda written: written.revision)
-
     async def commit(
         self, transaction: KvTransaction
     ) -> Result[KvWrite, KvError]:
@@ -241,19 +208,6 @@
             )
         )
 
-    async def watch(
-        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
-    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
-        """Yield changes from a revision on; the first Err is the last."""
-        after = from_revision - 1
-        while True:
-            answer = await self.poll(prefix, after, wait_s)
-            if isinstance(answer, Err):
-                yield answer
-                return
-            events, after = answer.ok_value
-            yield Ok(events)
-
     async def _get(
         self,
         path: str,
--- a/packages/pistachiospar/src/pistachiospar/requests/const.py
+++ b/packages/pistachiospar/src/pistachiospar/requests/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-from ..const import KIBIBYTE
 from ..const import MEBIBYTE
 
 MAX_ATTEMPTS: Final = 4
@@ -27,7 +26,6 @@
 BYTES_PER_TOKEN: Final = 4
 PLAIN_CALL_TOKENS: Final = 1
 MAX_KEY_BYTES: Final = 256
-MAX_PATH_BYTES: Final = 4 * KIBIBYTE
 DEFAULT_MAX_TOKENS: Final = 16
 UNKNOWN_KEY_RETRY_S: Final = 5.0
 EVENT_STREAM: Final = "text/event-stream"
--- a/packages/pistachiospar/src/pistachiospar/storing/calls.py
+++ b/packages/pistachiospar/src/pistachiospar/storing/calls.py
@@ -9,9 +9,7 @@
 from . import messages
 from ..ports.kv import KeyValue
 from ..ports.kv import KvError
-from ..ports.kv import KvEvent
-
-Changes = tuple[list[KvEvent], int]
+from .base import Changes
 
 
 class PollingKeyValue(KeyValue, Protocol):
--- a/packages/pistachiospar/src/pistachiospar/storing/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/storing/relayed.py
@@ -3,9 +3,7 @@
 The platform's service at times refuses some instances and serves others.
 """
 
-from collections.abc import AsyncGenerator
 from collections.abc import Callable
-from collections.abc import Sequence
 from random import Random
 
 from result import Err
@@ -15,24 +13,22 @@
 
 from . import const
 from . import messages
-from ..ports.kv import KvCheck
 from ..ports.kv import KvError
-from ..ports.kv import KvEvent
 from ..ports.kv import KvFault
 from ..ports.kv import KvItem
-from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..ports.kv import KvWrite
 from ..ports.kv import WATCH_WAIT_S
 from ..ports.peer_kv import PeerKeyValue
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from .calls import Changes
+from .base import Changes
+from .base import PolledKeyValue
 from .calls import make_call
 from .calls import PollingKeyValue
 
 
-class RelayedKeyValue:
+class RelayedKeyValue(PolledKeyValue):
     """Call the service, or have a peer call it."""
 
     def __init__(
@@ -64,27 +60,6 @@
         reply = await self._call(messages.GetCall(key))
         return reply.map(lambda got: next(iter(got.items), None))
 
-    async def find_newest(self, prefix: str) -> Result[int, KvError]:
-        """Return the newest revision below a prefix, 0 for none."""
-        listed = await self.list_items(prefix)
-        return listed.map(
-            lambda got: max((item.revision for item in got[0]), default=0)
-        )
-
-    async def put_if(
-        self,
-        key: str,
-        value: bytes,
-        expected: int,
-        lease: int = 0,
-        also: Sequence[KvPut] = (),
-    ) -> Result[KvWrite, KvError]:
-        """Write if the key's revision is as expected; 0 means absent."""
-        puts = (KvPut(key, value, lease), *also)
-        return await self.commit(
-            KvTransaction((KvCheck(key, expected),), puts)
-        )
-
     async def commit(
         self, transaction: KvTransaction
     ) -> Result[KvWrite, KvError]:
@@ -92,14 +67,6 @@
         reply = await self._call(messages.CommitCall(transaction))
         return reply.map(lambda got: KvWrite(got.won, got.number))
 
-    async def put_item(
-        self, key: str, value: bytes, lease: int = 0
-    ) -> Result[int, KvError]:
-        """Write without condition; return the store's revision."""
-        transaction = KvTransaction((), (KvPut(key, value, lease),))
-        written = await self.commit(transaction)
-        return written.map(lambda got: got.revision)
-
     async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
         """Return a new lease's number."""
         reply = await self._call(messages.GrantCall(ttl_s))
@@ -122,19 +89,6 @@
         reply = await self._call(messages.PollCall(prefix, after, wait_s))
         return reply.map(lambda got: (got.events, got.number))
 
-    async def watch(
-        self, prefix: str, from_revision: int, wait_s: float = WATCH_WAIT_S
-    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
-        """Yield changes from a revision on; the first Err is the last."""
-        after = from_revision - 1
-        while True:
-            answer = await self.poll(prefix, after, wait_s)
-            if isinstance(answer, Err):
-                yield answer
-                return
-            events, after = answer.ok_value
-            yield Ok(events)
-
     async def _call(
         self, call: messages.KvCall
     ) -> Result[messages.KvReply, KvError]:
