--- a/packages/pistachioctl/src/pistachioctl/traces.py
+++ b/packages/pistachioctl/src/pistachioctl/traces.py
@@ -20,6 +20,7 @@
         "draining",
         "holder_changed",
         "instance_gone",
+        "instance_listed",
         "load_ordered",
         "role_given_back",
         "role_lapsed",
