--- a/packages/pistachiospar/src/pistachiospar/holding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -6,6 +6,8 @@
 PREFIX_GATEWAYS: Final = "ps/g/"
 PREFIX_HOLDERS: Final = "ps/g/holder/"
 PREFIX_MEMBERS: Final = "ps/g/member/"
+# An address outlives its gateway for so long.
+MEMBER_S: Final = 300.0
 # Renewed three times within its length, so that one lost call is no loss.
 RENEW_SHARE: Final = 0.3
 # The holder stops giving orders this much before the lease may end.
--- a/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/coordinator.py
@@ -65,11 +65,19 @@
         ]
 
     async def _register(self) -> None:
-        """Write this gateway's address for its peers."""
+        """Keep this gateway's address written for its peers; one task."""
         key = const.PREFIX_MEMBERS + self._record.gateway
         value = msgspec.json.encode(self._record)
-        while (await self._kv.put_item(key, value)).is_err():
-            await trio.sleep(const.RETRY_S)
+        while True:
+            lease = (await self._kv.grant_lease(const.MEMBER_S)).unwrap_or(0)
+            if (
+                not lease
+                or (await self._kv.put_item(key, value, lease)).is_err()
+            ):
+                await trio.sleep(const.RETRY_S)
+                continue
+            while (await self._kv.keep_lease(lease)).unwrap_or(1.0) > 0:
+                await trio.sleep(const.MEMBER_S * const.RENEW_SHARE)
 
     def find_peer(self, pool: str) -> HolderRecord | None:
         """Return the gateway that holds a pool, unless it is this one."""
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -112,11 +112,14 @@
                 log_event("submission_ended", submission=submission)
                 # It may come before the submission that it ends.
                 self._early_ends.add(submission)
+            else:
+                self._early_ends.discard(submission)
         elif rest == "" and event.value is not None and self._loads:
             self._loads.send_nowait(event)
         elif rest == "":
             self.board.end(submission)
             self.board.submissions.pop(submission, None)
+            self._dispatcher.forget(submission)
 
     async def _load_submissions(
         self, events: trio.MemoryReceiveChannel[KvEvent], role: Role
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -86,6 +86,11 @@
         self._in_flight.clear()
         self._group_seats.clear()
 
+    def forget(self, submission: str) -> None:
+        """Forget where the groups of a submission ran."""
+        for key in [k for k in self._group_seats if k[0] == submission]:
+            del self._group_seats[key]
+
     def dispatch(
         self,
         instances: Instances,
@@ -94,6 +99,7 @@
         nursery: trio.Nursery,
     ) -> dict[str, int]:
         """Start waiting items, or move slow ones; return the free places."""
+        self._runner.paces.keep_only(instances)
         book = SeatBook(
             {m: self._list_seats(instances, m, now) for m in models}
         )
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -1,6 +1,7 @@
 """Support running one item: its stream, its way on, its scoring call."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 
 import trio
 
@@ -60,6 +61,11 @@
         weight = const.PACE_WEIGHT
         self._paces[instance] = (known + weight * (gap_s - known), now)
 
+    def keep_only(self, instances: Collection[str]) -> None:
+        """Forget the instances that are gone."""
+        for name in [name for name in self._paces if name not in instances]:
+            del self._paces[name]
+
     def find(self, instance: str, now: float) -> float:
         """Return an instance's pace; the best one when it is not known."""
         known = self._paces.get(instance)
--- a/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/versions/coordinator.py
@@ -57,11 +57,20 @@
             for model, version in instance.versions.items():
                 known = self.held.get((name, model), 0)
                 self.held[name, model] = max(known, version)
+        self._forget({instance.name for instance in instances})
         weights = {model: self.demand.weigh(model) for model in models}
         self.assigned = assign_models(
             instances, weights, self.assigned, self.held
         )
 
+    def _forget(self, kept: set[str]) -> None:
+        """Forget the instances that are gone."""
+        for name in [name for name in self._lives if name not in kept]:
+            del self._lives[name]
+            self._orders.pop(name, None)
+            for key in [key for key in self.held if key[0] == name]:
+                del self.held[key]
+
     def observe(self, instance: str, model: str, version: int) -> None:
         """Take the version that an instance itself just told."""
         self.held[instance, model] = version
