Start nothing after standing still, until it is known what happened

Ruled out: the lease (it had lapsed, orders stopped), the watch (it told the end 0.06 s later). A holder starts work while its lease holds or while it keeps asking a store that is away, not after a pause of 3 s. Four rows in the table of decisions; the first of them that matters fails on the code before (nothing asked when the last renewal was sent).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -32,6 +32,10 @@
       | a second try goes elsewhere                                        |
       | a whole group is written at once                                   |
       | a part of a group waits for the rest                               |
+      | a holder whose lease holds starts work                             |
+      | so does one that asks a store that is away                         |
+      | one that stood still hears first what happened                     |
+      | one whose key went starts nothing                                  |
       | the strongest gateway tries for a vacant pool first                |
 
   Scenario Outline: in a fleet, <case>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,8 +1,8 @@
 """Steps on a short soak of real processes."""
 
+from behave.runner import Context
 from behave import then
 from behave import when
-from behave.runner import Context
 from bench.soak import run_soak
 
 LANE = 77
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -7,6 +7,7 @@
 from pistachiospar.forwarding.health import choose_instance
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.holding.coordinator import choose_turn
+from pistachiospar.holding.models import Role
 from pistachiospar.routing.instances import ListedInstance
 from pistachiospar.submissions.board import make_state
 from pistachiospar.submissions.board import Phase
@@ -143,6 +144,16 @@
     return " ".join(f"{name}{model}" for name, model in sorted(found.items()))
 
 
+def may_start(lapsed_s: float, tried_s: float, lost: bool = False) -> bool:
+    """Say whether a holder may start work.
+
+    Seed 307 of the soak: a holder that was stopped for 5 s started items on
+    waking, 2.9 s after their submission's end.
+    """
+    role = Role("p", "k", 1, 1, NOW - lapsed_s, lost, NOW - tried_s)
+    return role.is_awake(NOW)
+
+
 SEATS = [make_seat("a"), make_seat("b"), make_seat("c", version=1)]
 
 CASES: dict[str, tuple[Callable[[], object], object]] = {
@@ -232,6 +243,22 @@
         lambda: commit_due(whole=False),
         "in 0.9 s, 1 results",
     ),
+    "a holder whose lease holds starts work": (
+        lambda: may_start(-1.0, 0.5),
+        True,
+    ),
+    "so does one that asks a store that is away": (
+        lambda: may_start(2.0, 1.0),
+        True,
+    ),
+    "one that stood still hears first what happened": (
+        lambda: may_start(3.0, 5.0),
+        False,
+    ),
+    "one whose key went starts nothing": (
+        lambda: may_start(-1.0, 0.1, lost=True),
+        False,
+    ),
     "the strongest gateway tries for a vacant pool first": (
         lambda: choose_turn(2.15, Random(1)) < choose_turn(0.387, Random(1)),
         True,
--- a/packages/pistachiospar/src/pistachiospar/holding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/const.py
@@ -12,6 +12,8 @@
 RENEW_SHARE: Final = 0.3
 # The holder stops giving orders this much before the lease may end.
 MARGIN_S: Final = 0.3
+# Ended work starts nowhere later than 3 s after its end.
+AWAKE_S: Final = 3.0
 # Candidates wait in turn, so that a vacancy costs one call, not one each.
 # Who holds what changes seldom, and other gateways see it too.
 WATCH_WAIT_S: Final = 9.0
--- a/packages/pistachiospar/src/pistachiospar/holding/lease.py
+++ b/packages/pistachiospar/src/pistachiospar/holding/lease.py
@@ -62,6 +62,7 @@
         while True:
             await trio.sleep(self._lease_s * const.RENEW_SHARE)
             sent_at = self._read_boot_time()
+            role.tried_at = sent_at
             kept = await self._kv.keep_lease(role.lease)
             if isinstance(kept, Err) and not role.lost:
                 continue
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -226,7 +226,13 @@
             policy = self._directory.table.upstreams.get(self.pool)
             models = list(policy.models) if policy else []
             self._versions.learn(found, models)
-            free = self._dispatcher.dispatch(instances, models, now, nursery)
+            free = self._dispatcher.dispatch(
+                instances,
+                models,
+                now,
+                nursery,
+                role.is_awake(self._clocks.read_boot_s()),
+            )
             needs = self._find_needs(models)
             self._versions.order_loads(
                 role, instances, needs, free, nursery, self.board.wake
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -97,6 +97,7 @@
         models: list[str],
         now: float,
         nursery: trio.Nursery,
+        may_start: bool,
     ) -> dict[str, int]:
         """Start waiting items, or move slow ones; return the free places."""
         self._runner.paces.keep_only(instances)
@@ -104,6 +105,8 @@
             {m: self._list_seats(instances, m, now) for m in models}
         )
         opened = self._board.list_open()
+        if not may_start:
+            return book.free
         if not self._start_items(opened, instances, book, now, nursery):
             self._move_items(opened, book, now)
         return book.free
