--- a/features/logs.feature
+++ b/features/logs.feature
@@ -8,3 +8,17 @@
   Scenario: a busy second
     When 1000 lines of a kind come in each of two seconds
     Then each second writes 300 and counts what it leaves out
+
+  Scenario: each refusal, give-up and lost attempt has its line
+    When gateways meet refusals, doubts, losses and a dead holder
+    Then their lines say what is needed to find each cause
+
+  Scenario Outline: the walk from <id>
+    When a small log is walked from <id>
+    Then the walk shows <lines>
+
+    Examples:
+      | id | lines                                                      |
+      | i1 | role_taken, submission_loaded, item_started, item_finished |
+      | s2 | role_taken, submission_ended                               |
+      | i9 | no line names i9                                           |
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -6,6 +6,9 @@
 from support.log_cases import count_admitted
 from support.log_cases import LINE
 from support.log_cases import write_to_a_slow_reader
+from support.log_schema import collect_lines
+from support.log_schema import find_faults
+from support.trace_cases import walk_log
 
 MOST = 300
 
@@ -44,3 +47,28 @@
     """Compare."""
     expected = (most, most, 2 * (context.lines - most))
     assert context.found == expected, context.found
+
+
+@when("gateways meet refusals, doubts, losses and a dead holder")
+def meet_trouble(context: Context) -> None:
+    """Collect the lines of a few cases."""
+    context.lines = collect_lines()
+
+
+@then("their lines say what is needed to find each cause")
+def check_lines(context: Context) -> None:
+    """Check the lines against what they must say."""
+    faults = find_faults(context.lines)
+    assert not faults, faults[:5]
+
+
+@when("a small log is walked from {wanted}")
+def walk_small(context: Context, wanted: str) -> None:
+    """Walk a log."""
+    context.found = walk_log(wanted)
+
+
+@then("the walk shows {lines}")
+def check_walk(context: Context, lines: str) -> None:
+    """Compare the kinds of lines, in order."""
+    assert context.found == lines.split(", "), context.found
