--- a/features/support/trace_cases.py
+++ b/features/support/trace_cases.py
@@ -6,7 +6,7 @@
 
 from pistachioctl.traces import trace
 
-LINES = (
+LINES: tuple[tuple[str, str, dict[str, object]], ...] = (
     ("g1", "role_taken", {"pool": "p", "fence": 3}),
     ("g2", "store_lost", {"prefix": "x"}),
     ("g1", "submission_loaded", {"submission": "s1"}),
