--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,9 +42,9 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
 
-from support.submission_stories import hurt_sampler  # noqa: E402
-from support.submission_stories import judge_orders  # noqa: E402
-from support.submission_stories import judge_story  # noqa: E402
+from support.submission_blows import hurt_sampler  # noqa: E402
+from support.submission_judges import judge_orders  # noqa: E402
+from support.submission_judges import judge_story  # noqa: E402
 from support.submission_stories import read_at_end  # noqa: E402
 from support.submission_stories import Tale  # noqa: E402
 from support.submission_stories import train  # noqa: E402
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -18,10 +18,10 @@
 from pistachiospar_standins.fakes.sinks import AnswerExchange
 import trio
 
+from .submission_judges import SubmissionStory
 from .submission_stories import end
 from .submission_stories import make_item
 from .submission_stories import read_some
-from .submission_stories import SubmissionStory
 from .submission_stories import submit
 
 LIMIT_S = 120.0
