--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -4,6 +4,7 @@
 from behave import then
 from behave import when
 from support.draws import check_seeds
+from support import guard_cases
 from support.submission_stories import run_tale
 
 DRAW_SEED = 20261205
@@ -35,3 +36,15 @@
     check_seeds(
         count, DRAW_SEED, lambda number: run_tale(number).find_broken()
     )
+
+
+@when("a guard is tried alone: {guard}")
+def try_guard(context: Context, guard: str) -> None:
+    """Run a case."""
+    context.kept = guard_cases.run_case(guard)
+
+
+@then("the guard holds")
+def check_guard(context: Context) -> None:
+    """Check that the guard held."""
+    assert context.kept
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -19,3 +19,16 @@
     When the tale of seed 3 runs
     Then the tale keeps every promise
     And the tale lists at least 20 results
+
+  Scenario Outline: alone, <guard>
+    When a guard is tried alone: <guard>
+    Then the guard holds
+
+    Examples: guards that no tale reaches
+      | guard                                 |
+      | a stream in order is a result         |
+      | a stream that skips an event is void  |
+      | weights under the bound give nothing  |
+      | a stream goes on after its last event |
+      | a checkpoint of older weights is left |
+      | results are written under the fence   |
