--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -48,6 +48,7 @@
       | a holder that the store refuses stays holder        |
       | a submission waits for a store that is away shortly |
       | a submission that is refused never runs             |
+      | a submission in doubt is not called refused         |
       | a slow instance costs half a target                 |
       | no instance is reached: refused in time             |
       | no answer in time: in doubt, in time                |
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.platform.callers import encode_submission
 from pistachiospar.submissions.models import Submission
 from pistachiospar_standins.fakes.fleet import run_virtual
 from pistachiospar_standins.fakes.gateways import APP
@@ -120,6 +121,37 @@
     return not story.accepted and story.refused and not ran
 
 
+async def doubtful_accept(fleet: GatewayFleet) -> bool:
+    """Each reply to a write is lost: a submission may be kept, or not."""
+    for running in fleet.running.values():
+        running.kv.faults.lose_reply_every = 1
+    story = make_story("doubt", 3)
+    answer = await ask_to_accept(fleet, story)
+    for running in fleet.running.values():
+        running.kv.faults.lose_reply_every = 0
+    kept = any("doubt" in key for key in fleet.store.items)
+    return kept and answer.status not in (0, 429, 503)
+
+
+async def ask_to_accept(
+    fleet: GatewayFleet, story: SubmissionStory
+) -> AnswerExchange:
+    """Submit once, at the first gateway, and wait for any answer."""
+    submission = story.submission
+    request = HttpRequest(
+        "POST",
+        submission.path,
+        "",
+        {"host": HOST, "request-id": submission.id, "deadline-ms": "12000"},
+        encode_submission(submission),
+    )
+    exchange = AnswerExchange()
+    handler = fleet.running["g0"].coordinator.handler
+    with trio.move_on_after(60.0):
+        await handler.handle(request, exchange)
+    return exchange
+
+
 async def slow_instance(fleet: GatewayFleet) -> bool:
     """One of two instances of the plain service hardly answers."""
     fleet.world.samplers["a0"].faults.slow = 40.0
@@ -259,6 +291,7 @@
     "a holder that the store refuses stays holder": turned_away_holder,
     "a submission waits for a store that is away shortly": short_outage,
     "a submission that is refused never runs": long_outage,
+    "a submission in doubt is not called refused": doubtful_accept,
     "a slow instance costs half a target": slow_instance,
     "no instance is reached: refused in time": dead_service,
     "no answer in time: in doubt, in time": silent_service,
