--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,8 +1,9 @@
 """Soak gateways, as real processes, under faults from outside.
 
-python -m bench.soak --seeds 50 [--first 0] [--seconds 12] [--lane 0]
+python -m bench.soak --seeds 50 [--first 0] [--seconds 12]
 
-Lanes have IP numbers of their own, so that several may run at once.
+Each run has IP numbers of its own, by its process's number, so that several
+may run at once.
 
 The store and the samplers are stand-ins in this process; each gateway is a
 process of its own that reaches the store by way of a loopback proxy. Faults:
@@ -50,6 +51,8 @@
 from support.submission_stories import train  # noqa: E402
 
 GATEWAYS = 3
+# Loopback has 127.1.0.0 to 127.254.255.255 to draw from.
+HOST_GROUPS = 254
 START_S = 3.0
 SETTLE_S = 14.0
 CALL_S = 13.0
@@ -123,10 +126,9 @@
 class SoakFleet(GatewayFleet):
     """Run gateways as processes; the world stays in this one."""
 
-    def __init__(self, plan: GatewayPlan, folder: Path, lane: int) -> None:
+    def __init__(self, plan: GatewayPlan, folder: Path) -> None:
         """Begin with nothing running."""
         super().__init__(plan)
-        self._lane = lane
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.faults = {f"g{n}": ProxyFaults() for n in range(GATEWAYS)}
         self._folder = folder
@@ -203,7 +205,8 @@
 
     def _write_settings(self, name: str, store: Address) -> None:
         """Write the settings of a gateway; its IP number is its own."""
-        host = f"127.0.{self._lane}.{int(name[1:]) + 2}"
+        high, low = divmod(os.getpid() % (HOST_GROUPS * 256), 256)
+        host = f"127.{high + 1}.{low}.{int(name[1:]) + 2}"
         self._addresses[name] = Address(host, 7001)
         text = msgspec.json.encode(
             {
@@ -302,12 +305,12 @@
                 nursery.start_soon(blow_at, name)
 
 
-async def soak(seed: int, seconds: float, folder: Path, lane: int) -> Tale:
+async def soak(seed: int, seconds: float, folder: Path) -> Tale:
     """Run one seed; return what broke."""
     rng = Random(seed)
     tale = Tale(seed)
     plan = GatewayPlan(gateways=GATEWAYS, seed=seed)
-    fleet = SoakFleet(plan, folder, lane)
+    fleet = SoakFleet(plan, folder)
     async with fleet.serve():
         async with trio.open_nursery() as nursery:
             nursery.start_soon(strike, fleet, rng, seconds, tale)
@@ -326,10 +329,10 @@
     return tale
 
 
-def run_soak(seed: int, seconds: float, lane: int = 0) -> Tale:
+def run_soak(seed: int, seconds: float) -> Tale:
     """Run one seed in a folder of its own."""
     with TemporaryDirectory() as folder:
-        tale = trio.run(soak, seed, seconds, Path(folder), lane)
+        tale = trio.run(soak, seed, seconds, Path(folder))
         if tale.broken:
             kept = Path("run") / f"soak-{seed}"
             kept.mkdir(parents=True, exist_ok=True)
@@ -344,11 +347,10 @@
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=12.0)
-    parser.add_argument("--lane", type=int, default=0)
     options = parser.parse_args()
     broken = 0
     for seed in range(options.first, options.first + options.seeds):
-        tale = run_soak(seed, options.seconds, options.lane)
+        tale = run_soak(seed, options.seconds)
         broken += bool(tale.broken)
         print(f"seed {seed}: {tale.listed} listed, {', '.join(tale.blows)}")
         for line in tale.find_broken():
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,13 +5,11 @@
 from behave import when
 from bench.soak import run_soak
 
-LANE = 77
-
 
 @when("gateways are soaked for {seconds:g} s with seed {seed:d}")
 def soak_shortly(context: Context, seconds: float, seed: int) -> None:
     """Run one seed."""
-    context.tale = run_soak(seed, seconds, LANE)
+    context.tale = run_soak(seed, seconds)
 
 
 @then("what callers and instances saw keeps every promise")
