Let a gateway serve before it loads its exporter

Change: the exporter is a module of its own, loaded in a thread once callers are served; durations from before are kept for it. Test: features/logs.feature (two scenarios; the old code brings opentelemetry and prometheus_client with the gateway).

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -22,3 +22,11 @@
       | i1 | role_taken, submission_loaded, item_started, item_finished |
       | s2 | role_taken, submission_ended                               |
       | i9 | no line names i9                                           |
+
+  Scenario: a gateway answers its callers before it loads its exporter
+    When a gateway's modules are loaded by themselves
+    Then nothing of OpenTelemetry or Prometheus came with them
+
+  Scenario: durations from before the exporter
+    When 3 durations are observed, an exporter opens, and 2 follow
+    Then the exporter tells of 5
--- a/features/steps/log_steps.py
+++ b/features/steps/log_steps.py
@@ -4,6 +4,8 @@
 from behave import then
 from behave import when
 from support.log_cases import count_admitted
+from support.log_cases import count_exported
+from support.log_cases import find_exporters
 from support.log_cases import LINE
 from support.log_cases import write_to_a_slow_reader
 from support.log_schema import collect_lines
@@ -72,3 +74,30 @@
 def check_walk(context: Context, lines: str) -> None:
     """Compare the kinds of lines, in order."""
     assert context.found == lines.split(", "), context.found
+
+
+@when("a gateway's modules are loaded by themselves")
+def load_gateway(context: Context) -> None:
+    """Load them in a process of their own."""
+    context.found = find_exporters("pistachiospar.gateway.process")
+
+
+@then("nothing of OpenTelemetry or Prometheus came with them")
+def check_loaded(context: Context) -> None:
+    """Check that the start does not pay for the exporter."""
+    assert context.found == [], context.found
+    assert find_exporters("pistachiospar.telemetry.exporter")
+
+
+@when(
+    "{early:d} durations are observed, an exporter opens, and {late:d} follow"
+)
+def observe_around(context: Context, early: int, late: int) -> None:
+    """Observe before and after."""
+    context.found = count_exported(early, late)
+
+
+@then("the exporter tells of {count:d}")
+def check_exported(context: Context, count: int) -> None:
+    """Compare."""
+    assert context.found == count, context.found
--- a/features/support/log_cases.py
+++ b/features/support/log_cases.py
@@ -1,10 +1,16 @@
 """Support logs before a reader that is slow, and busy seconds."""
 
 import os
+import subprocess
+import sys
 
+from pistachiospar.telemetry.exporter import MetricsExporter
 from pistachiospar.telemetry.logs import LineLimiter
 from pistachiospar.telemetry.logs import PatientWriter
+from pistachiospar.telemetry.metrics import Metrics
 
+EARLY = "observed_around_the_exporter"
+EXPORTERS = ("opentelemetry", "prometheus_client")
 LINE = b"x" * 999 + b"\n"
 KEPT = 50_000
 
@@ -38,3 +44,30 @@
     first = sum(limiter.admits("a", 10.5) for _ in range(lines))
     second = sum(limiter.admits("a", 11.2) for _ in range(lines))
     return first, second, limiter.take_suppressed().get("a", 0)
+
+
+def find_exporters(module: str) -> list[str]:
+    """Return the exporters that a module brings into a new process."""
+    code = f"import sys, {module}; print(*sys.modules)"
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    loaded = set(done.stdout.split())
+    return [name for name in EXPORTERS if name in loaded]
+
+
+def count_exported(early: int, late: int) -> int:
+    """Return how many durations an exporter tells of."""
+    metrics = Metrics()
+    for _ in range(early):
+        metrics.observe(EARLY, 0.1)
+    exporter = MetricsExporter(metrics, "test")
+    for _ in range(late):
+        metrics.observe(EARLY, 0.1)
+    start = f'pistachiospar_duration_seconds_count{{of="{EARLY}"'
+    lines = exporter.render().decode().splitlines()
+    found = [line for line in lines if line.startswith(start)]
+    return int(float(found[0].split()[-1]))
--- a/packages/pistachiospar/src/pistachiospar/admin/server.py
+++ b/packages/pistachiospar/src/pistachiospar/admin/server.py
@@ -12,7 +12,7 @@
 from ..helpers.explanations import Explanations
 from ..helpers.problems import refuse_input
 from ..telemetry.const import CONTENT_TYPE_METRICS
-from ..telemetry.metrics import MetricsExporter
+from ..telemetry.exporter import MetricsExporter
 from .diagnostics import redact
 from .models import ExplainedNote
 
--- a/packages/pistachiospar/src/pistachiospar/entry/process.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/process.py
@@ -26,8 +26,8 @@
 from ..process.listening import serve_http
 from ..process.listening import wait_for_stop
 from ..settings.models import EntrySettings
+from ..telemetry.exporter import MetricsExporter
 from ..telemetry.logs import log_event
-from ..telemetry.metrics import MetricsExporter
 from .coordinator import EntryCoordinator
 from .diagnostics import EntryDump
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -2,6 +2,7 @@
 
 import gc
 from random import Random
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -11,10 +12,8 @@
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import Exchange
 from ..adapters.http.server import HttpServer
-from ..admin.server import AdminHandler
 from . import const
 from ..const import MEBIBYTE
-from ..helpers.explanations import Explanations
 from ..holding.clock import Clocks
 from ..holding.clock import read_boot_time
 from ..platform.directory import PLATFORM_KEYS
@@ -25,13 +24,15 @@
 from ..process.listening import serve_http
 from ..process.listening import wait_for_stop
 from ..telemetry.logs import log_event
-from ..telemetry.metrics import MetricsExporter
 from .coordinator import GatewayCoordinator
 from .diagnostics import dump_gateway
 from .diagnostics import GatewayDump
 from .models import GatewayIdentity
 from .reload import watch_settings
 
+if TYPE_CHECKING:
+    from ..admin.server import AdminHandler
+
 
 class GatewayProcess:
     """Hold all parts of one gateway."""
@@ -66,17 +67,6 @@
         self._peer_server = HttpServer(
             GatewayPeerHandler(reader.read_here, direct).handle
         )
-        self._exporter = MetricsExporter(
-            self.coordinator.metrics, settings.name
-        )
-        self._admin = HttpServer(
-            AdminHandler(
-                self._exporter,
-                Explanations(),
-                self._is_ready,
-                self._dump_state,
-            ).handle
-        )
         self._ready_server = HttpServer(self._answer_ready)
         self._draining = False
         self.coordinator.directory.subscribe(self._apply_limits)
@@ -96,14 +86,36 @@
             await nursery.start(serve_http, self._peer_server, settings.peer)
             if settings.listen is not None:
                 await nursery.start(serve_http, self._server, settings.listen)
-            admin = Address(settings.peer.host, const.ADMIN_PORT)
-            await nursery.start(serve_http, self._admin, admin)
+            nursery.start_soon(self._serve_admin)
             nursery.start_soon(watch_settings, settings)
             log_event("started", zone=settings.zone)
             await wait_for_stop()
             await self._drain()
             nursery.cancel_scope.cancel()
 
+    async def _serve_admin(self) -> None:
+        """Serve the admin port; callers don't wait until it is loaded."""
+        handler = await trio.to_thread.run_sync(
+            self._load_admin, abandon_on_cancel=True
+        )
+        gc.freeze()
+        address = Address(self._settings.peer.host, const.ADMIN_PORT)
+        await serve_http(HttpServer(handler.handle), address)
+
+    def _load_admin(self) -> "AdminHandler":
+        """Load what the admin port needs."""
+        # A third of all imports: a gateway that was killed is back sooner.
+        from ..admin.server import AdminHandler
+        from ..helpers.explanations import Explanations
+        from ..telemetry.exporter import MetricsExporter
+
+        exporter = MetricsExporter(
+            self.coordinator.metrics, self._settings.name
+        )
+        return AdminHandler(
+            exporter, Explanations(), self._is_ready, self._dump_state
+        )
+
     async def _answer_ready(
         self, request: HttpRequest, exchange: Exchange
     ) -> None:
--- a/packages/pistachiospar/src/pistachiospar/sidecar/process.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/process.py
@@ -23,8 +23,8 @@
 from ..process.listening import serve_http
 from ..process.listening import wait_for_stop
 from ..settings.models import SidecarSettings
+from ..telemetry.exporter import MetricsExporter
 from ..telemetry.logs import log_event
-from ..telemetry.metrics import MetricsExporter
 from .coordinator import SidecarCoordinator
 from .diagnostics import dump_sidecar
 from .gate import Gate
--- a/packages/pistachiospar/src/pistachiospar/telemetry/const.py
+++ b/packages/pistachiospar/src/pistachiospar/telemetry/const.py
@@ -21,5 +21,8 @@
 LINES_A_SECOND: Final = 300
 # Lines kept for a reader that is slow.
 KEPT_BYTES: Final = 1_048_576
+# Durations kept until the exporter is loaded, some 0.2 s after the start: far
+# more than a gateway sees by then.
+EARLY_DURATIONS: Final = 1000
 METER_NAME: Final = "pistachiospar"
 CONTENT_TYPE_METRICS: Final = "text/plain; version=0.0.4; charset=utf-8"
