--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,14 +11,22 @@
 from . import capacity
 from . import path
 from . import policy
+from . import pool_table
 from . import service
 from . import training
 from .models import Table
 
+
+def measure_policies(table: Table) -> None:
+    """Measure the policies of both deployments of the product."""
+    policy.measure(table)
+    pool_table.measure(table)
+
+
 BENCHES: dict[str, Callable[[Table], None]] = {
     "capacity": capacity.measure,
     "path": path.measure,
-    "policy": policy.measure,
+    "policy": measure_policies,
     "service": service.measure,
     "training": training.measure,
 }
--- a/bench/plot.py
+++ b/bench/plot.py
@@ -15,6 +15,7 @@
 COLUMNS = 2
 WIDTH_IN = 9.0
 ROW_IN = 2.8
+GROUP_STATES = ("running", "waiting", "finished")
 
 
 def draw(series: list[dict[str, Any]], file: str) -> None:
@@ -43,6 +44,32 @@
     figure.savefig(file, metadata={"Date": None})
 
 
+def draw_groups(days: list[dict[str, Any]], file: str) -> None:
+    """Draw what groups did over each day; raises ImportError."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    matplotlib.rcParams["svg.hashsalt"] = "pistachiospar"
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(
+        len(days), 1, figsize=(WIDTH_IN, ROW_IN * len(days)), squeeze=False
+    )
+    for panel, day in zip(axes.flat, days, strict=True):
+        times = [moment["at"] for moment in day["moments"]]
+        rows = [
+            [moment[name] for moment in day["moments"]]
+            for name in GROUP_STATES
+        ]
+        panel.stackplot(times, rows, labels=GROUP_STATES)
+        panel.set_title(day["name"], fontsize=9)
+        panel.set_xlabel("virtual seconds", fontsize=8)
+        panel.set_ylabel("groups of open steps", fontsize=8)
+        panel.legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(file, metadata={"Date": None})
+
+
 def main() -> int:
     """Draw all series that were measured; return the exit status."""
     series: list[dict[str, Any]] = []
@@ -51,8 +78,12 @@
     if not series:
         print("nothing measured yet: run make bench", file=sys.stderr)
         return 1
+    days = RESULTS / "policy.moments.json"
     try:
         draw(series, str(RESULTS / "slopes.svg"))
+        if days.exists():
+            drawn = json.loads(days.read_text())
+            draw_groups(drawn, str(RESULTS / "groups.svg"))
     except ImportError:
         print("matplotlib is not installed", file=sys.stderr)
         return 1
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -29,6 +29,7 @@
 LOAD_S = 0.9
 LATE_S = 4.0
 PLAIN_S = 0.03
+PROMPT_HEADER = "Prompt"
 STREAMED = ("/rollout/", "/stream/")
 
 
@@ -43,6 +44,30 @@
     error_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class SamplerPace:
+    """Say how fast an instance is; times are in seconds.
+
+    An event takes `event_s`, and `event_place_s` more for each place taken.
+    A prompt is read once, in `prompt_s`. Loads take longer when more than
+    `loads_at_once` run.
+    """
+
+    event_s: float = EVENT_S
+    event_place_s: float = 0.0
+    prompt_s: float = 0.0
+    load_s: float = LOAD_S
+    loads_at_once: int = 1_000_000
+
+    def find_event_s(self, taken: int) -> float:
+        """Return the time between two events of a text."""
+        return self.event_s + self.event_place_s * taken
+
+    def find_load_s(self, loading: int) -> float:
+        """Return how long a load takes beside others."""
+        return self.load_s * max(1.0, loading / self.loads_at_once)
+
+
 @dataclass(frozen=True, slots=True)
 class OrderRecord:
     """Hold an order as it arrived; the time is in seconds."""
@@ -72,6 +97,8 @@
     slots: int = 8
     versions: dict[str, int] = field(default_factory=dict)
     faults: SamplerFaults = field(default_factory=SamplerFaults)
+    pace: SamplerPace = SamplerPace()
+    prompts: set[str] = field(default_factory=set)
     fence: int = 0
     accepted: int = 0
     running: int = 0
@@ -89,8 +116,10 @@
             self.versions[order.model] = order.version
             self.loading = None
 
-    def take(self, order: LoadOrder, now: float) -> OrderReply:
-        """Take an order if its fence and count allow it."""
+    def take(
+        self, order: LoadOrder, now: float, beside: int = 0
+    ) -> OrderReply:
+        """Take an order, `beside` others, if its fence and count allow it."""
         if order.fence < self.fence:
             return OrderReply.FENCED
         self.fence = order.fence
@@ -99,7 +128,8 @@
         if self.loading or order.accepted_orders != self.accepted:
             return OrderReply.CONFLICT
         self.accepted += 1
-        self.loading = (now + LOAD_S, order)
+        self.loading = (now + self.pace.find_load_s(beside + 1), order)
+        self.prompts.clear()
         return OrderReply.ACCEPTED
 
 
@@ -123,6 +153,7 @@
         self.samplers: dict[str, FakeSampler] = {}
         self.runs: list[RunRecord] = []
         self.orders: list[OrderRecord] = []
+        self.make_output = make_output
         self.made: dict[str, dict[int, set[int]]] = {}
         self.ended_at: dict[str, float] = {}
 
@@ -209,7 +240,11 @@
             sampler.late.append((now + delay_s, order))
             await trio.sleep(1.0)
             return OrderReply.UNKNOWN
-        return sampler.take(order, now)
+        beside = sum(
+            other.loading is not None
+            for other in self._world.samplers.values()
+        )
+        return sampler.take(order, now, beside)
 
     async def read_report(
         self, instance: ListedInstance
@@ -266,10 +301,12 @@
         self, sampler: FakeSampler, model: str, call: SamplerCall, told: int
     ) -> AsyncIterator[StreamEvent]:
         """Make the events of an item."""
-        output = make_output(call.request_id)
+        output = self._world.make_output(call.request_id)
+        await self._read_prompt(sampler, call)
         made = self._world.made.setdefault(call.request_id, {})
         for number in range((call.after_event or 0) + 1, len(output) + 1):
-            await trio.sleep(EVENT_S * sampler.faults.slow)
+            event_s = sampler.pace.find_event_s(sampler.running)
+            await trio.sleep(event_s * sampler.faults.slow)
             sampler.settle(trio.current_time())
             self._maybe_cut(sampler)
             version = sampler.versions.get(model, 1)
@@ -281,6 +318,15 @@
             yield StreamEvent(number, data, changed, raw)
         self._world.ended_at[call.request_id] = trio.current_time()
 
+    async def _read_prompt(
+        self, sampler: FakeSampler, call: SamplerCall
+    ) -> None:
+        """Read a prompt that the instance has not read yet."""
+        prompt = dict(call.headers).get(PROMPT_HEADER, "")
+        if prompt and prompt not in sampler.prompts:
+            sampler.prompts.add(prompt)
+            await trio.sleep(sampler.pace.prompt_s * sampler.faults.slow)
+
     def _maybe_cut(self, sampler: FakeSampler) -> None:
         """Break an answer off if the faults say so."""
         share = sampler.faults.cut_share
