--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -7,8 +7,6 @@
     Examples: decisions
       | pattern                                                            |
       | two open steps: the one due first, its groups in order, long first |
-      | a long item that must start now goes before its step's groups      |
-      | not when there is more work than fits: whole groups count          |
       | a group's next item stays where its prompt was read                |
       | weights too old for the step are no place                          |
       | all places taken                                                   |
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -50,15 +50,10 @@
     return Seat(name, version, 4, 4, pace_s, assigned)
 
 
-def order_names(item_s: float = 0.1, places: int = 8) -> str:
+def order_names() -> str:
     """Order a later step's items before and after an earlier one's."""
     late, soon = make_board("b", NOW + 9), make_board("a", NOW + 3)
-    found = order_items(
-        sorted([late, soon], key=lambda s: s.due_at),
-        NOW,
-        {"m": item_s},
-        places,
-    )
+    found = order_items(sorted([late, soon], key=lambda s: s.due_at), NOW)
     return " ".join(state.item.id for _, state in found[:5])
 
 
@@ -166,14 +161,6 @@
         order_names,
         "a0long a0short a1long a1short b0long",
     ),
-    "a long item that must start now goes before its step's groups": (
-        lambda: order_names(0.8),
-        "a0long a1long a0short a1short b0long",
-    ),
-    "not when there is more work than fits: whole groups count": (
-        lambda: order_names(0.8, places=2),
-        "a0long a0short a1long a1short b0long",
-    ),
     "a group's next item stays where its prompt was read": (
         lambda: seat(SEATS, beside="b"),
         "b",
--- a/packages/pistachiospar/src/pistachiospar/submissions/board.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/board.py
@@ -56,7 +56,7 @@
     """Hold a submission's items and results; times are in seconds.
 
     `finished` are results that are not durable yet; `listed` are, in the
-    order of their positions. `mean_tokens` is the mean of the estimates.
+    order of their positions.
     """
 
     submission: Submission
@@ -64,7 +64,6 @@
     give_up_at: float
     items: dict[str, ItemState]
     groups: dict[str, list[ItemState]]
-    mean_tokens: float = 0.0
     listed: list[SampleResult] = field(default_factory=list)
     finished: list[SampleResult] = field(default_factory=list)
     finished_at: float = 0.0
@@ -110,14 +109,8 @@
     groups: dict[str, list[ItemState]] = {}
     for state in items.values():
         groups.setdefault(state.item.group, []).append(state)
-    tokens = [item.expected_tokens for item in submission.items]
     return SubmissionState(
-        submission,
-        now + due_s - age_s,
-        now + give_up_s - age_s,
-        items,
-        groups,
-        sum(tokens) / max(1, len(tokens)),
+        submission, now + due_s - age_s, now + give_up_s - age_s, items, groups
     )
 
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -36,10 +36,6 @@
 # along, and reading it again takes some ms.
 MOVE_RATIO: Final = 1.7
 MOVE_AFTER_S: Final = 0.4
-# Estimates of lengths are off by half, as the sheets' are; a result is
-# scored and made durable in about a second more. Figures: bench/pools.py.
-LENGTH_SLACK: Final = 1.5
-DUE_MARGIN_S: Final = 1.5
 ITEM_TIME_S: Final = 30.0
 # Changes that come together are looked at once.
 # Records that a new holder reads at the same time.
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -121,12 +121,7 @@
     ) -> bool:
         """Start waiting items where there is room; tell if some wait on."""
         waits = False
-        item_s = {
-            model: self._versions.demand.find(model).item_s
-            for model in book.seats
-        }
-        places = sum(instance.slots for instance in instances.values())
-        for submission, state in order_items(opened, now, item_s, places):
+        for submission, state in order_items(opened, now):
             if now >= submission.give_up_at:
                 submission.finish(give_up(state, "age"), now)
                 self._board.wake()
--- a/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
@@ -27,68 +27,26 @@
 
 
 def order_items(
-    submissions: Iterable[SubmissionState],
-    now: float,
-    item_s: Mapping[str, float],
-    places: int,
+    submissions: Iterable[SubmissionState], now: float
 ) -> list[tuple[SubmissionState, ItemState]]:
     """Return the waiting items, the next one first.
 
     Submissions go by their due time, groups in the trainer's order (those
-    carried over stand first), long items of a group before short ones. An
-    item that must start now to end by its due time goes before all groups,
-    the least slack first, but not when there is more work than fits: then
-    whole groups are what counts. `item_s` has the mean seconds of a model's
-    items, `places` is how many run at once.
+    carried over stand first), long items of a group before short ones.
     """
-    pressing: list[tuple[float, SubmissionState, ItemState]] = []
     found: list[tuple[SubmissionState, ItemState]] = []
-    work_s = 0.0
     for submission in submissions:
-        mean_s = item_s.get(submission.submission.model, 0.0)
-        waiting = list_waiting(submission, now)
-        work_s += mean_s * len(waiting)
-        left_s = submission.due_at - now - const.DUE_MARGIN_S
-        if work_s > places * left_s:
+        for group in submission.groups.values():
+            waiting = [
+                state
+                for state in group
+                if state.phase is Phase.WAITING and now >= state.not_before
+            ]
+            waiting.sort(key=lambda s: -s.item.expected_tokens)
             found.extend((submission, state) for state in waiting)
-            continue
-        for state in waiting:
-            slack_s = left_s - find_length(submission, state, mean_s)
-            if slack_s < 0.0:
-                pressing.append((slack_s, submission, state))
-            else:
-                found.append((submission, state))
-    pressing.sort(key=lambda row: row[0])
-    return [(submission, state) for _, submission, state in pressing] + found
-
-
-def list_waiting(submission: SubmissionState, now: float) -> list[ItemState]:
-    """Return a submission's waiting items by group, long ones first."""
-    found: list[ItemState] = []
-    for group in submission.groups.values():
-        waiting = [
-            state
-            for state in group
-            if state.phase is Phase.WAITING and now >= state.not_before
-        ]
-        waiting.sort(key=lambda s: -s.item.expected_tokens)
-        found.extend(waiting)
     return found
 
 
-def find_length(
-    submission: SubmissionState, state: ItemState, mean_s: float
-) -> float:
-    """Return the seconds that an item may take, by its estimate.
-
-    Its share of the submission's mean is its share of the mean time.
-    """
-    share = 1.0
-    if submission.mean_tokens > 0.0 and state.item.expected_tokens > 0.0:
-        share = state.item.expected_tokens / submission.mean_tokens
-    return const.LENGTH_SLACK * share * mean_s
-
-
 def choose_seat(
     seats: Iterable[Seat],
     free: Mapping[str, int],
