Catch the mutant that takes new work without a lease

Test: the guard tried alone (features/submissions.feature); with the check left out it fails, with it it passes. PoolCoordinator.load is public for it.

--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -32,3 +32,4 @@
       | a stream goes on after its last event |
       | a checkpoint of older weights is left |
       | results are written under the fence   |
+      | new work needs a lease that holds     |
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -7,9 +7,11 @@
 from random import Random
 from typing import Any
 
+import msgspec
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.holding.models import Role
+from pistachiospar.ports.kv import KvEvent
 from pistachiospar.ports.kv import KvTransaction
 from pistachiospar.ports.kv import KvWrite
 from pistachiospar.ports.sampler import SamplerCall
@@ -25,12 +27,17 @@
 from pistachiospar.submissions.checkpoints import Progress
 from pistachiospar.submissions.commits import choose_batch
 from pistachiospar.submissions.commits import ResultCommitter
+from pistachiospar.submissions.const import PREFIX_SUBMISSIONS
 from pistachiospar.submissions.models import Item
 from pistachiospar.submissions.models import SampleResult
 from pistachiospar.submissions.models import Submission
 from pistachiospar.submissions.runner import ItemRunner
 from pistachiospar.telemetry.metrics import Metrics
 from pistachiospar_standins.fakes.fleet import run_virtual
+from pistachiospar_standins.fakes.gateways import GatewayFleet
+from pistachiospar_standins.fakes.gateways import GatewayPlan
+from pistachiospar_standins.fakes.gateways import POOL
+from pistachiospar_standins.fakes.gateways import VALUE_BYTES
 from pistachiospar_standins.fakes.samplers import FakeAnswer
 from result import Ok
 import trio
@@ -156,6 +163,33 @@
     )
 
 
+async def load_with(valid_until: float) -> tuple[bool, list[str]]:
+    """Have a gateway load a submission under a role; return what came."""
+    fleet = GatewayFleet(GatewayPlan(gateways=1))
+    async with trio.open_nursery() as nursery:
+        await fleet.start(nursery)
+        gateway = fleet.running["g0"].coordinator
+        await gateway.hand_over()
+        submission = msgspec.structs.replace(SUBMISSION, model="m0")
+        kept = await Archive(gateway.kv, VALUE_BYTES).accept(submission)
+        assert isinstance(kept, Ok), kept
+        items = (await gateway.kv.list_items(PREFIX_SUBMISSIONS)).unwrap()[0]
+        event = KvEvent(items[0].key, items[0].value, items[0].revision)
+        pool = gateway.pools[POOL]
+        role = Role(POOL, "holder-key", 1, 1, valid_until)
+        loaded = await pool.load(SUBMISSION.id, event, role)
+        names = list(pool.board.submissions)
+        nursery.cancel_scope.cancel()
+    return loaded, names
+
+
+async def load_without_lease() -> bool:
+    """New work is left to whoever holds the pool by now."""
+    lapsed = await load_with(0.0)
+    held = await load_with(1e9)
+    return lapsed == (False, []) and held == (True, [SUBMISSION.id])
+
+
 CASES: dict[str, Callable[[], Awaitable[bool]]] = {
     "a stream in order is a result": whole_stream,
     "a stream that skips an event is void": gap_in_stream,
@@ -163,6 +197,7 @@
     "a stream goes on after its last event": resumed,
     "a checkpoint of older weights is left": old_checkpoint,
     "results are written under the fence": fenced_commit,
+    "new work needs a lease that holds": load_without_lease,
 }
 
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -141,10 +141,10 @@
         if submission in self.board.submissions:
             return
         async with limiter:
-            while not await self._load(submission, event, role):
+            while not await self.load(submission, event, role):
                 await trio.sleep(const.RETRY_S)
 
-    async def _load(self, name: str, event: KvEvent, role: Role) -> bool:
+    async def load(self, name: str, event: KvEvent, role: Role) -> bool:
         """Load one submission and its results; False to try again."""
         assert event.value is not None
         if not role.is_valid(self._clocks.read_boot_s()):
