--- a/bench/pools.py
+++ b/bench/pools.py
@@ -12,6 +12,7 @@
 import msgspec
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.platform.callers import encode_submission
+from pistachiospar.platform.const import PATH_LOTS
 from pistachiospar.submissions.board import Phase
 from pistachiospar.submissions.board import SubmissionState
 from pistachiospar.submissions.models import Item
@@ -243,7 +244,7 @@
         body = encode_submission(submission)
         await self._ask("POST", submission.path, name, body)
         whole = await self._read(name, groups, len(kept), wanted, outcome)
-        await self._ask("DELETE", f"/lots/{name}", "", b"")
+        await self._ask("DELETE", PATH_LOTS + name, "", b"")
         self._carried = [
             group for at, group in enumerate(groups) if at not in whole
         ]
@@ -263,7 +264,7 @@
         while trio.current_time() < outcome.asked_at + GIVE_UP_S:
             await trio.sleep(READ_S)
             page = await self._ask(
-                "GET", f"/lots/{name}", "", b"", f"after={position}"
+                "GET", PATH_LOTS + name, "", b"", f"after={position}"
             )
             if page is not None:
                 results = msgspec.json.decode(page)["results"]
