Let a few gateways watch the store and inform the others

Change: folder watch_relay. A source proves its contact to the store by lease renewals (a tenth of a call); a follower leaves one that is silent for 0.85 s or without contact for 1.2 s, asks three others at once, then the store. A source lists anew after a gap, since its watches may have been cut silently; a source that the store refuses follows another one, instead of polls through peers, which could add up to 7 s. The grace of instances after an outage now counts from the call that failed and the first that succeeded.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -15,11 +15,14 @@
 from pistachiospar.platform.directory import PLATFORM_KEYS
 from pistachiospar.pool_holders.clock import Clocks
 from pistachiospar.submissions.models import ResultPage
+from pistachiospar.watch_relay.const import REPLY_MARGIN_S
+from pistachiospar.watch_relay.messages import FollowCall
+from pistachiospar.watch_relay.messages import FollowReply
 import trio
 
 from ..kv.store import Store
-from .kv import FakeKeyValue
 from .kv import KvFaultSet
+from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
 from .samplers import FakeSampler
 from .samplers import FakeSamplerClient
@@ -46,7 +49,7 @@
     """
 
     coordinator: GatewayCoordinator
-    kv: FakeKeyValue
+    kv: PolledFakeKeyValue
     scope: trio.CancelScope
     suspended_s: float = 0.0
 
@@ -70,6 +73,7 @@
     max_age_s: float = 40.0
     result_retention_s: float = 120.0
     resumable: bool = True
+    is_first_start: bool = False
     faults: KvFaultSet = field(default_factory=KvFaultSet)
 
 
@@ -89,6 +93,21 @@
             return None
         return await execute_call(running.kv, call)
 
+    async def follow(
+        self, address: str, call: FollowCall
+    ) -> FollowReply | None:
+        """Follow a peer's watches; None when it doesn't reply in time."""
+        await trio.sleep(0.001)
+        running = self._fleet.running.get(address)
+        if running is None or not self._fleet.can_connect(self._name, address):
+            return None
+        with trio.move_on_after(call.wait_s + REPLY_MARGIN_S):
+            reply = await running.coordinator.watch_server.serve(call)
+            if address in self._fleet.suspended:
+                await trio.sleep_forever()
+            return reply
+        return None
+
     async def fetch_results(
         self, address: str, submission: str, after: int, wait_s: float
     ) -> ResultPage | None:
@@ -102,7 +121,11 @@
 
 
 class GatewayFleet:
-    """Gateways over one store and one cluster of instances."""
+    """Gateways over one store and one cluster of instances.
+
+    Those in `isolated` can't connect to others; those in `suspended` don't
+    reply to their followers.
+    """
 
     def __init__(self, plan: GatewayPlan) -> None:
         """Create a fleet without running gateways."""
@@ -112,10 +135,12 @@
         self.cluster = SamplerCluster(self.rng)
         self.running: dict[str, RunningGateway] = {}
         self.isolated: set[str] = set()
+        self.suspended: set[str] = set()
         self.addresses: dict[str, str] = {}
         self.configuration_version = 0
         self._nursery: trio.Nursery | None = None
         self._incarnations = 0
+        self._is_first_start = False
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Write the configuration; start all instances and gateways."""
@@ -126,8 +151,10 @@
         for number in range(self.plan.apps):
             self.add_sampler(f"a{number}", APP)
         nursery.start_soon(self._update_instance_list)
+        self._is_first_start = self.plan.is_first_start
         for number in range(self.plan.gateways):
             self.start_gateway(f"g{number}")
+        self._is_first_start = False
         await trio.sleep(1.5)
 
     def start_gateway(self, name: str) -> None:
@@ -135,7 +162,7 @@
         assert self._nursery is not None
         self._incarnations += 1
         rng = Random(self.plan.seed * 1000 + self._incarnations)
-        kv = FakeKeyValue(self.store, KvFaultSet())
+        kv = PolledFakeKeyValue(self.store, KvFaultSet())
         scope = trio.CancelScope()
 
         def read_boot_s() -> float:
@@ -149,6 +176,7 @@
                 LEASE_TTL_S,
                 MAX_VALUE_BYTES,
                 self.plan.result_retention_s,
+                is_first_start=self._is_first_start,
             ),
             PLATFORM_KEYS,
             kv,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -133,7 +133,7 @@
 
     async def renew_lease(self, lease: int) -> Result[float, KvError]:
         """Renew a lease; return its time to live, 0 when it has expired."""
-        fault = await self._begin_call("write")
+        fault = await self._begin_call("renewal")
         if fault is not None:
             return Err(fault)
         return Ok(self._store.renew_lease(lease, trio.current_time()))
@@ -251,6 +251,26 @@
         return KvError(KvFault.UNKNOWN, "reply lost")
 
 
+class PolledFakeKeyValue(FakeKeyValue):
+    """A client whose watches are made of polls, as on the platform."""
+
+    async def watch(
+        self,
+        prefix: str,
+        from_revision: int,
+        wait_s: float = WATCH_POLL_TIMEOUT_S,
+    ) -> AsyncGenerator[Result[list[KvEvent], KvError], None]:
+        """Yield changes from a revision on, until the first Err."""
+        after = from_revision - 1
+        while True:
+            polled = await self.poll(prefix, after, wait_s)
+            if isinstance(polled, Err):
+                yield polled
+                return
+            events, after = polled.ok_value
+            yield Ok(events)
+
+
 def _make_item(item: StoredItem) -> KvItem:
     """Convert an item of the store to one of the port."""
     return KvItem(item.key, item.value, item.revision)
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -9,6 +9,9 @@
 from ...kv_access.messages import KvReply
 from ...kv_access.messages import PollCall
 from ...submissions.models import ResultPage
+from ...watch_relay.const import REPLY_MARGIN_S
+from ...watch_relay.messages import FollowCall
+from ...watch_relay.messages import FollowReply
 from . import const
 from ..http.client import HttpPool
 from ..http.client import parse_address
@@ -39,6 +42,22 @@
         except (HttpError, trio.TooSlowError, msgspec.MsgspecError):
             return None
 
+    async def follow(
+        self, address: str, call: FollowCall
+    ) -> FollowReply | None:
+        """Wait for changes at a gateway; None when it is no source."""
+        body = msgspec.msgpack.encode(call)
+        try:
+            with trio.fail_after(call.wait_s + REPLY_MARGIN_S):
+                response = await self._get_pool(address).fetch(
+                    "POST", const.PATH_FOLLOW, body=body
+                )
+            if response.status != 200:
+                return None
+            return msgspec.msgpack.decode(response.body, type=FollowReply)
+        except (HttpError, trio.TooSlowError, msgspec.MsgspecError):
+            return None
+
     async def fetch_results(
         self, address: str, submission: str, after: int, wait_s: float
     ) -> ResultPage | None:
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -10,26 +10,34 @@
 from ...kv_access.calls import PollableKeyValue
 from ...kv_access.messages import KvCall
 from ...submissions.models import ResultPage
+from ...watch_relay.messages import FollowCall
+from ...watch_relay.messages import FollowReply
 from . import const
 from ..http.models import HttpRequest
 from ..http.server import Exchange
 
+FollowServer = Callable[[FollowCall], Awaitable[FollowReply | None]]
 LocalResultsReader = Callable[[str, int, float], Awaitable[ResultPage | None]]
 
 
 class GatewayPeerHandler:
     """HTTP handler of a gateway's peer port.
 
-    It returns the results that this gateway holds and executes key-value
-    calls for gateways whose own calls to the service fail.
+    It returns the results that this gateway holds, executes key-value calls
+    for gateways whose own calls to the service fail, and passes on what its
+    watches receive.
     """
 
     def __init__(
-        self, read_local: LocalResultsReader, kv: PollableKeyValue
+        self,
+        read_local: LocalResultsReader,
+        kv: PollableKeyValue,
+        follow: FollowServer,
     ) -> None:
-        """Serve results of `read_local` and calls to `kv`."""
+        """Serve results of `read_local`, calls to `kv` and followers."""
         self._read_local = read_local
         self._kv = kv
+        self._follow = follow
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one call of another gateway."""
@@ -40,6 +48,14 @@
                 200, [], msgspec.msgpack.encode(reply)
             )
             return
+        if request.path == const.PATH_FOLLOW:
+            follow_call = msgspec.msgpack.decode(request.body, type=FollowCall)
+            found = await self._follow(follow_call)
+            status = 200 if found is not None else 404
+            await exchange.send_response(
+                status, [], msgspec.msgpack.encode(found)
+            )
+            return
         if not request.path.startswith(const.PATH_RESULTS):
             await exchange.send_response(404, [], b"")
             return
--- a/packages/pistachiospar/src/pistachiospar/directory/const.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/const.py
@@ -11,6 +11,11 @@
 # registers again within this time of the service's return, if it is alive
 # (2 s according to the users' page).
 RETURN_GRACE_S: Final = 2.3
+# The platform holds a gateway to its bounds again this long after an outage.
+MAX_GRACE_S: Final = 3.0
 # The key-value service counts as unavailable after this long without a
 # response: two missed waits of a watch.
 UNAVAILABLE_AFTER_S: Final = 4.5
+# Changes that a history keeps for followers; one that lacks more than these
+# gets a snapshot.
+MAX_HISTORY_CHANGES: Final = 256
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -26,9 +26,17 @@
     """
 
     def __init__(
-        self, kv: KeyValue, keys: DirectoryKeys, metrics: Metrics, rng: Random
+        self,
+        kv: KeyValue,
+        direct_kv: KeyValue,
+        keys: DirectoryKeys,
+        metrics: Metrics,
+        rng: Random,
     ) -> None:
-        """Start with an empty route table of version 0."""
+        """Start with an empty route table of version 0.
+
+        The mirrors that the watch relay keeps up to date call `direct_kv`.
+        """
         self._kv = kv
         self._keys = keys
         self._metrics = metrics
@@ -40,22 +48,21 @@
         self._grace_ends_at: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.configuration_mirror = PrefixMirror(
-            kv, keys.key_config, self._apply_operator_event, rng
+            direct_kv,
+            keys.key_config,
+            self._apply_operator_event,
+            rng,
+            keep_history=True,
         )
         self.instance_mirror = PrefixMirror(
-            kv,
+            direct_kv,
             keys.prefix_instances,
             self._apply_instance_event,
             rng,
             const.BATCH_DELAY_S,
+            keep_history=True,
         )
 
-    async def run(self) -> None:
-        """Follow configuration and instances, with one watch each."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.configuration_mirror.run)
-            nursery.start_soon(self.instance_mirror.run)
-
     async def watch_operator_keys(self) -> None:
         """Follow named versions and retirements.
 
@@ -166,13 +173,20 @@
         self._notify_listeners()
 
     def _remove_instance(self, name: str, now: float) -> None:
-        """Remove an instance, or start its grace time after an outage."""
-        last_failure_at = self.instance_mirror.last_failure_at
-        if last_failure_at is not None and now - last_failure_at < (
-            const.RETURN_GRACE_S
-        ):
-            self._grace_ends_at[name] = now + const.RETURN_GRACE_S
-            return
+        """Remove an instance, or keep it until its grace time ends.
+
+        The key-value service was back at some time between the last call
+        that failed and the first that succeeded again.
+        """
+        mirror = self.instance_mirror
+        if mirror.last_failure_at is not None:
+            grace_ends_at = min(
+                mirror.regained_at + const.RETURN_GRACE_S,
+                mirror.last_failure_at + const.MAX_GRACE_S,
+            )
+            if now < grace_ends_at:
+                self._grace_ends_at[name] = grace_ends_at
+                return
         if self.instances.pop(name, None) is not None:
             log_event("instance_gone", instance=name)
         self._notify_listeners()
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -13,14 +13,23 @@
 from ..ports.kv import KvEvent
 from ..ports.kv import WATCH_POLL_TIMEOUT_S
 from ..telemetry.logs import log_event
+from .history import HistoryPage
+from .history import HistoryPosition
+from .history import PrefixHistory
 
 
 class PrefixMirror:
     """Follow the keys below a prefix and report each change once, in order.
 
-    The keys' revisions are stored, not their values. `synced` is set after
-    the first complete listing. `last_success_at` and `last_failure_at` are
-    in monotonic seconds, None before the first.
+    Changes come from the key-value service while `run` runs, or from another
+    gateway's history by `apply_page`. The keys' revisions are stored, and
+    their values only in `history`, which exists while `run` runs and is
+    wanted by `keep_history`. Up to `complete_revision` all changes are known.
+    `synced` is set after the first complete listing; `listed_at` is the time
+    of the last one. `last_success_at` is None before the first response,
+    `last_failure_at`, when the last call that failed was sent, before the
+    first failure; `regained_at` is when calls last succeeded again. All are
+    in monotonic seconds.
     """
 
     def __init__(
@@ -31,6 +40,7 @@
         rng: Random,
         batch_delay_s: float = 0.0,
         wait_s: float = WATCH_POLL_TIMEOUT_S,
+        keep_history: bool = False,
     ) -> None:
         """Call `on_event` for each change.
 
@@ -44,20 +54,42 @@
         self._rng = rng
         self._batch_delay_s = batch_delay_s
         self._wait_s = wait_s
+        self._keep_history = keep_history
         self._backoff = Backoff(const.RETRY_INITIAL_S, const.RETRY_MAX_S)
         self.revisions: dict[str, int] = {}
+        self.complete_revision = 0
+        self.history: PrefixHistory | None = None
+        self._newest_revision = 0
+        self._listed_revision = 0
+        self._watch_scope = trio.CancelScope()
+        self.listed_at = float("-inf")
+        self._source_position = HistoryPosition()
         self.synced = trio.Event()
         self.last_success_at: float | None = None
         self.last_failure_at: float | None = None
-        self._failures = 0
+        self.regained_at = float("-inf")
+        self.failures = 0
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Register a listener, called after changes and after listings."""
+        self._listeners.append(listener)
 
     async def run(self) -> None:
         """List and watch the keys, with backoff after failures."""
-        while True:
-            await self._read_and_watch()
-            await trio.sleep(
-                self._backoff.draw_delay_s(self._failures, self._rng)
-            )
+        try:
+            while True:
+                with trio.CancelScope() as self._watch_scope:
+                    await self.list_and_watch()
+                    await trio.sleep(
+                        self._backoff.draw_delay_s(self.failures, self._rng)
+                    )
+        finally:
+            self.history = None
+
+    def restart(self) -> None:
+        """List the keys again at once; the current watch may be silent."""
+        self._watch_scope.cancel()
 
     def is_unavailable(self, now: float) -> bool:
         """Return whether the service is without a recent response."""
@@ -66,57 +98,142 @@
             or now - self.last_success_at > const.UNAVAILABLE_AFTER_S
         )
 
-    async def _read_and_watch(self) -> None:
+    async def list_and_watch(self) -> None:
         """List all keys, then apply changes until the watch ends."""
-        listing = await self._kv.list_items(self.prefix)
-        if isinstance(listing, Err):
-            self._record_failure(listing.err_value.detail)
+        if not await self.list_once():
             return
-        self._record_success()
-        items, revision = listing.ok_value
-        listed_keys = {item.key for item in items}
-        for key in [key for key in self.revisions if key not in listed_keys]:
-            self._apply(KvEvent(key, None, revision))
-        for item in items:
-            self._apply(KvEvent(item.key, item.value, item.revision))
-        self.synced.set()
         async with aclosing(
-            self._kv.watch(self.prefix, revision + 1, self._wait_s)
+            self._kv.watch(
+                self.prefix, self._listed_revision + 1, self._wait_s
+            )
         ) as watch:
+            sent_at = trio.current_time()
             async for events in watch:
                 if isinstance(events, Err):
-                    self._record_failure(events.err_value.detail)
+                    self.record_failure(events.err_value.detail, sent_at)
                     return
-                self._record_success()
-                for event in events.ok_value:
-                    self._apply(event)
-                if events.ok_value and self._batch_delay_s:
+                self.record_contact(trio.current_time())
+                self._apply_changes(events.ok_value)
+                if events.ok_value:
+                    self._notify_listeners()
                     await trio.sleep(self._batch_delay_s)
+                sent_at = trio.current_time()
+
+    async def list_once(self) -> bool:
+        """List all keys and apply what changed; return whether that worked."""
+        sent_at = trio.current_time()
+        listing = await self._kv.list_items(self.prefix)
+        if isinstance(listing, Err):
+            self.record_failure(listing.err_value.detail, sent_at)
+            return False
+        self.record_contact(trio.current_time())
+        listed, self._listed_revision = listing.ok_value
+        items = [KvEvent(i.key, i.value, i.revision) for i in listed]
+        self._apply_listing(items, self._listed_revision)
+        self.listed_at = trio.current_time()
+        self._source_position = HistoryPosition()
+        if self.history is not None:
+            self.history.record_listing(items, self._listed_revision)
+        elif self._keep_history:
+            name = f"{self._rng.getrandbits(64):016x}"
+            self.history = PrefixHistory(name, items, self._listed_revision)
+        self._notify_listeners()
+        return True
+
+    def get_position(self) -> HistoryPosition:
+        """Return how far the changes of a source's history are applied."""
+        return HistoryPosition(
+            self._source_position.history,
+            self._source_position.number,
+            self.complete_revision,
+            self._newest_revision,
+        )
+
+    def has_changes(self, position: HistoryPosition) -> bool:
+        """Return whether there is more to tell a follower at a position."""
+        return self.history is not None and self.history.has_changes(
+            position, self.complete_revision
+        )
+
+    def read_history(self, position: HistoryPosition) -> HistoryPage | None:
+        """Return what a follower lacks; None while there is no history."""
+        if self.history is None:
+            return None
+        return self.history.read(position, self.complete_revision)
+
+    def apply_page(self, page: HistoryPage) -> None:
+        """Apply what another gateway's history has after `get_position`."""
+        revision = page.position.revision
+        is_same_history = (
+            page.position.history == self._source_position.history
+        )
+        if is_same_history or self._newest_revision <= revision:
+            self._source_position = page.position
+        else:
+            # This mirror may have items that the history never had.
+            self._source_position = HistoryPosition()
+        if page.is_snapshot:
+            self._apply_listing(page.events, revision)
+        else:
+            self._apply_changes(page.events)
+            self.complete_revision = max(self.complete_revision, revision)
+        self.synced.set()
+        self._notify_listeners()
+
+    def record_contact(self, at: float) -> None:
+        """Record that the service responded at a time."""
+        if self.failures:
+            log_event("store_regained", prefix=self.prefix)
+            self.regained_at = trio.current_time()
+        self.failures = 0
+        self.last_success_at = max(at, self.last_success_at or at)
+
+    def record_failure(self, detail: str, sent_at: float) -> None:
+        """Record a call that failed, and when it was sent."""
+        if not self.failures:
+            log_event("store_lost", prefix=self.prefix, error=detail)
+        self.failures += 1
+        self.last_failure_at = sent_at
+
+    def _apply_listing(self, items: list[KvEvent], revision: int) -> None:
+        """Apply all items; the keys that are missing were deleted."""
+        listed_keys = {item.key for item in items}
+        for key in [key for key in self.revisions if key not in listed_keys]:
+            self._apply(KvEvent(key, None, revision))
+        for item in items:
+            self._apply(item)
+        self.complete_revision = max(self.complete_revision, revision)
+        self.synced.set()
+
+    def _apply_changes(self, events: list[KvEvent]) -> None:
+        """Apply changes in their order."""
+        for event in events:
+            self._apply(event)
+        if events:
+            newest_revision = max(event.revision for event in events)
+            self.complete_revision = max(
+                self.complete_revision, newest_revision
+            )
 
     def _apply(self, event: KvEvent) -> None:
         """Report a change unless it is known or older than the known one."""
         known_revision = self.revisions.get(event.key, 0)
-        if event.revision <= known_revision and event.value is not None:
-            return
-        if event.revision < known_revision:
-            return
         if event.value is None:
-            if self.revisions.pop(event.key, None) is None:
+            if not known_revision or event.revision < known_revision:
                 return
+            del self.revisions[event.key]
         else:
+            # A key that is unknown at a complete revision was deleted by then.
+            known_revision = known_revision or self.complete_revision
+            if event.revision <= known_revision:
+                return
             self.revisions[event.key] = event.revision
+        self._newest_revision = max(self._newest_revision, event.revision)
+        if self.history is not None:
+            self.history.record(event)
         self._on_event(event)
 
-    def _record_success(self) -> None:
-        """Record a response of the service."""
-        if self._failures:
-            log_event("store_regained", prefix=self.prefix)
-        self._failures = 0
-        self.last_success_at = trio.current_time()
-
-    def _record_failure(self, detail: str) -> None:
-        """Record a failed call."""
-        if not self._failures:
-            log_event("store_lost", prefix=self.prefix, error=detail)
-        self._failures += 1
-        self.last_failure_at = trio.current_time()
+    def _notify_listeners(self) -> None:
+        """Call all listeners."""
+        for listener in self._listeners:
+            listener()
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -21,6 +21,7 @@
 from ..pool_holders.role_lease import RoleLeaseManager
 from ..ports.kv import KeyValue
 from ..ports.peer_kv import PeerKeyValue
+from ..ports.peer_watch import PeerWatch
 from ..ports.sampler import SamplerClient
 from ..ports.submissions import SubmissionPeer
 from ..submissions.archive import Archive
@@ -30,12 +31,15 @@
 from ..submissions.runner import ItemRunner
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from ..watch_relay.contact import StoreContact
+from ..watch_relay.coordinator import WatchRelay
+from ..watch_relay.server import WatchServer
 from ..weight_versions.coordinator import VersionCoordinator
 from .models import GatewayIdentity
 from .routes import GatewayHandler
 
 
-class GatewayPeers(PeerKeyValue, SubmissionPeer, Protocol):
+class GatewayPeers(PeerKeyValue, PeerWatch, SubmissionPeer, Protocol):
     """All calls that one gateway makes to another."""
 
 
@@ -68,12 +72,38 @@
             self.metrics,
             rng,
         )
-        self.directory = Directory(self.kv, keys, self.metrics, rng)
+        self.directory = Directory(self.kv, direct_kv, keys, self.metrics, rng)
         role_leases = RoleLeaseManager(
             self.kv, record, identity.lease_s, clocks.read_boot_s
         )
         self.holders = HolderCoordinator(
-            self.kv, record, role_leases, identity.cpu_capacity, rng
+            self.kv, direct_kv, record, role_leases, identity.cpu_capacity, rng
+        )
+        mirrors = [
+            self.directory.configuration_mirror,
+            self.directory.instance_mirror,
+            self.holders.mirror,
+        ]
+        self.contact = StoreContact(clocks.read_boot_s)
+        self.watch_server = WatchServer(
+            mirrors,
+            self.contact,
+            self.holders.renew_membership,
+            clocks.read_boot_s,
+            self.metrics,
+        )
+        self.watch_relay = WatchRelay(
+            identity.name,
+            mirrors,
+            self.holders.mirror,
+            self.holders.list_members,
+            peer,
+            self.watch_server,
+            self.contact,
+            clocks.read_boot_s,
+            identity.is_first_start,
+            self.metrics,
+            rng,
         )
         self.health = InstanceHealth(rng)
         self.forwarder = Forwarder(
@@ -115,8 +145,8 @@
         """Run all background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self.forwarder.run)
-            nursery.start_soon(self.directory.run)
-            nursery.start_soon(self.holders.run)
+            nursery.start_soon(self.watch_relay.run)
+            nursery.start_soon(self.holders.publish_address)
             nursery.start_soon(self._compete_for_pools)
             task_status.started()
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -28,7 +28,8 @@
     """State of a gateway.
 
     `store_age_s` is the time since the key-value service last responded,
-    None before its first response.
+    None before its first response. `watch_source` is the gateway through
+    which changes arrive, empty when this one watches the service itself.
     """
 
     name: str
@@ -36,6 +37,7 @@
     ready: bool
     configuration: int
     store_age_s: float | None
+    watch_source: str
     named_versions: dict[str, int]
     holders: dict[str, str]
     roles: list[RoleDump]
@@ -58,6 +60,7 @@
         gateway.is_ready(now),
         directory.table.version,
         None if last_success_at is None else now - last_success_at,
+        gateway.watch_relay.source_name,
         dict(directory.named_versions),
         {p: record.gateway for p, record in gateway.holders.holders.items()},
         [
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -10,7 +10,8 @@
     `peer` is its address for other gateways, `lease_s` how long a role
     outlives its holder, `value_bytes` the largest value that the key-value
     service stores, `result_retention_s` how long an ended submission can
-    still be read, `cpu_capacity` how much of a core it has.
+    still be read, `cpu_capacity` how much of a core it has. `is_first_start`
+    is set when all gateways start together for the first time.
     """
 
     name: str
@@ -20,3 +21,4 @@
     value_bytes: int
     result_retention_s: float
     cpu_capacity: float = 1.0
+    is_first_start: bool = False
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -50,6 +50,7 @@
                 settings.value_bytes,
                 settings.result_retention_s,
                 settings.cpu_capacity,
+                settings.is_first_start,
             ),
             PLATFORM_KEYS,
             direct_kv,
@@ -67,7 +68,11 @@
         limits.max_buffered_bytes = int(memory_bytes * const.BODY_BUFFER_SHARE)
         reader = self.coordinator.reader
         self._peer_server = HttpServer(
-            GatewayPeerHandler(reader.read_local, direct_kv).handle
+            GatewayPeerHandler(
+                reader.read_local,
+                direct_kv,
+                self.coordinator.watch_server.serve,
+            ).handle
         )
         self._ready_server = HttpServer(self._handle_readiness)
         self._draining = False
--- a/packages/pistachiospar/src/pistachiospar/platform/settings.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -59,6 +59,7 @@
     listen: ListenMessage = msgspec.field(default_factory=ListenMessage)
     internalPorts: list[int] = []
     heartbeatMs: float = 1200
+    bootstrap: bool = False
     limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
     bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
 
@@ -84,6 +85,7 @@
     cpu_capacity: float
     memory_mb: float
     max_descriptors: int
+    is_first_start: bool = False
 
 
 def find_settings_file() -> str:
@@ -121,4 +123,5 @@
         message.limits.cpuShare * message.limits.cores,
         message.limits.memoryMb,
         message.limits.maxFds,
+        message.bootstrap,
     )
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
@@ -15,6 +15,8 @@
 LEASE_MARGIN_S: Final = 0.3
 # Items of an ended submission must not start later than 3 s after its end.
 RENEWAL_MAX_AGE_S: Final = 3.0
+# Gateways that start together publish their addresses close together.
+BATCH_DELAY_S: Final = 0.1
 # Holders change seldom, and the other gateways see a change too.
 WATCH_POLL_TIMEOUT_S: Final = 9.0
 # Candidates try one after another, so that a vacancy costs one call in all
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 from random import Random
 
 import msgspec
@@ -25,14 +26,19 @@
     def __init__(
         self,
         kv: KeyValue,
+        direct_kv: KeyValue,
         record: HolderRecord,
         role_leases: RoleLeaseManager,
         cpu_capacity: float,
         rng: Random,
     ) -> None:
-        """Initialize; `cpu_capacity` is this gateway's, as in its settings."""
+        """Initialize; `cpu_capacity` is this gateway's, as in its settings.
+
+        The mirror, which the watch relay keeps up to date, calls `direct_kv`.
+        """
         self._cpu_capacity = cpu_capacity
         self._kv = kv
+        self._direct_kv = direct_kv
         self._own_record = record
         self._role_leases = role_leases
         self._rng = rng
@@ -42,19 +48,30 @@
         self._changed = trio.Event()
         self._stopping = False
         self.mirror = PrefixMirror(
-            kv,
+            direct_kv,
             const.PREFIX_GATEWAYS,
             self._apply_event,
             rng,
-            wait_s=const.WATCH_POLL_TIMEOUT_S,
+            const.BATCH_DELAY_S,
+            const.WATCH_POLL_TIMEOUT_S,
+            keep_history=True,
         )
         self._members: dict[str, HolderRecord] = {}
+        self._member_lease = 0
 
-    async def run(self) -> None:
-        """Watch the holders and publish this gateway's address."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.mirror.run)
-            nursery.start_soon(self._publish_address)
+    def list_members(self) -> Mapping[str, HolderRecord]:
+        """Return the records of all gateways that published one, by name."""
+        return self._members
+
+    async def renew_membership(self) -> bool:
+        """Renew the lease of this gateway's address.
+
+        Return whether the service itself responded to this gateway.
+        """
+        if not self._member_lease:
+            return False
+        renewed = await self._direct_kv.renew_lease(self._member_lease)
+        return renewed.is_ok()
 
     def list_peers(self) -> list[str]:
         """Return the addresses of the other gateways."""
@@ -64,7 +81,7 @@
             if record.gateway != self._own_record.gateway
         ]
 
-    async def _publish_address(self) -> None:
+    async def publish_address(self) -> None:
         """Store this gateway's address under a lease and keep renewing it."""
         key = const.PREFIX_MEMBERS + self._own_record.gateway
         value = msgspec.json.encode(self._own_record)
@@ -78,10 +95,12 @@
             ):
                 await trio.sleep(const.RETRY_DELAY_S)
                 continue
+            self._member_lease = lease
             while (await self._kv.renew_lease(lease)).unwrap_or(1.0) > 0:
                 await trio.sleep(
                     const.MEMBER_LEASE_S * const.RENEW_INTERVAL_SHARE
                 )
+            self._member_lease = 0
 
     def find_remote_holder(self, pool: str) -> HolderRecord | None:
         """Return the holder of a pool; None for this process or a vacancy."""
