Notice a cut holder sooner; lose no work when it stops in an outage

In outages each call became three, through peers that lacked the store as well. A 410 counted as an outage: instances that had left were kept 2.3 s. Gateways with one call in several seconds kept connections to all instances of a plain upstream. Change: a renewal without response for 0.5 s is sent through a peer too, and moves waiting polls there; while relaying only renewals try the store itself. A stopping holder uses its grace to commit and write its checkpoint; after an outage it reacquires its role before others try. Peers without contact refuse relayed calls at once. 410 has its own fault. A call prefers an instance with an idle connection unless another one is expected to be 1.6 times faster.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -29,6 +29,11 @@
       | an instance is not avoided for one broken response             |
       | an instance is avoided after three broken responses in a row   |
       | a plain call goes to the instance with the least load          |
+      | a seldom caller keeps to one connection                        |
+      | a connected instance is preferred to one that was never called |
+      | a slow instance is left in spite of its connection             |
+      | a busy instance is left in spite of its connection             |
+      | seldom callers spread over the instances                       |
       | a retry goes to another instance                               |
       | a complete group is committed at once                          |
       | an incomplete group waits for the rest                         |
@@ -57,6 +62,9 @@
       | the next holder resumes the work of a crashed one  |
       | a delisted sampler gets no work                    |
       | a change missed by silent watches is known in time |
+      | a holder that is cut off from the store notices it |
+      | a holder that stays cut off commits without pauses |
+      | a holder that stops in a store outage loses no work |
       | only the holder follows named versions             |
       | an interrupted stream resumes elsewhere            |
       | a truncated stream never looks complete            |
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from pistachiospar.adapters.http.client import Address
-from pistachiospar.forwarding.health import choose_instance
+from pistachiospar.forwarding.choice import choose_instance
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.pool_holders.coordinator import choose_candidacy_delay_s
 from pistachiospar.pool_holders.models import Role
@@ -126,18 +126,55 @@
     return NOW + after_s < health.get_state("a").avoided_until
 
 
-def choose_for_call(in_flight: dict[str, int], tried: set[str]) -> str:
-    """Return the instance of a plain call, by the calls in flight."""
+def choose_for_call(
+    in_flight: dict[str, int],
+    tried: set[str],
+    connected: str = "",
+    durations_s: tuple[float, ...] = (),
+    caller: str = "g1",
+) -> str:
+    """Return the instance of a plain call, by the calls in flight.
+
+    `durations_s` has the mean duration of a call at each instance.
+    """
     health = InstanceHealth(Random(1))
     instances = []
     for name, load in in_flight.items():
         health.get_state(name).in_flight = load
+    for name, duration_s in zip(in_flight, durations_s):
+        health.get_state(name).mean_duration_s = duration_s
+    for name in in_flight:
         address = Address("127.0.0.1", 1)
         instances.append(ListedInstance(name, "u", address, "z", 4, False))
-    chosen = choose_instance(instances, health, tried, "z", NOW, Random(1))
+    chosen = choose_instance(
+        instances,
+        health,
+        tried,
+        caller,
+        "z",
+        lambda i: i.name in connected,
+        NOW,
+    )
     return chosen.name if chosen else "none"
 
 
+def count_first_choices() -> int:
+    """Return how many of four instances forty gateways call first."""
+    idle = dict.fromkeys("abcd", 0)
+    names = [f"g{number}" for number in range(40)]
+    chosen = [choose_for_call(idle, set(), caller=name) for name in names]
+    return sum(chosen.count(name) >= 5 for name in idle)
+
+
+def count_connections(calls: int) -> int:
+    """Return how many connections a gateway with one call at a time opens."""
+    connected = ""
+    for _ in range(calls):
+        chosen = choose_for_call(dict.fromkeys("abcd", 0), set(), connected)
+        connected = connected + chosen
+    return len(set(connected))
+
+
 def describe_commit(complete_group: bool) -> str:
     """Return when results are committed, and how many."""
     submission = make_submission("a", NOW + 3)
@@ -288,6 +325,23 @@
         lambda: choose_for_call({"a": 3, "b": 1}, set()),
         "b",
     ),
+    "a seldom caller keeps to one connection": (
+        lambda: count_connections(20),
+        1,
+    ),
+    "a connected instance is preferred to one that was never called": (
+        lambda: choose_for_call({"a": 0, "b": 0}, set(), "b", (0.0, 0.05)),
+        "b",
+    ),
+    "a slow instance is left in spite of its connection": (
+        lambda: choose_for_call({"a": 0, "b": 0}, set(), "a", (0.5, 0.05)),
+        "b",
+    ),
+    "a busy instance is left in spite of its connection": (
+        lambda: choose_for_call({"a": 1, "b": 0}, set(), "a", (0.05, 0.05)),
+        "b",
+    ),
+    "seldom callers spread over the instances": (count_first_choices, 4),
     "a retry goes to another instance": (
         lambda: choose_for_call({"a": 3, "b": 1}, {"b"}),
         "a",
@@ -318,8 +372,8 @@
     ),
     "the gateway with the most CPU tries for a vacant pool first": (
         lambda: (
-            choose_candidacy_delay_s(2.15, Random(1))
-            < choose_candidacy_delay_s(0.387, Random(1))
+            choose_candidacy_delay_s(2.15, False, Random(1))
+            < choose_candidacy_delay_s(0.387, False, Random(1))
         ),
         True,
     ),
--- a/features/support/submission_scenarios.py
+++ b/features/support/submission_scenarios.py
@@ -175,13 +175,24 @@
 ) -> PageView | None:
     """Read results at a random gateway, all of them or only new ones."""
     after = rng.choice([0, len(history.results)])
+    gateway = pick_gateway(fleet, rng)
+    return await read_page_at(fleet, gateway, history, after)
+
+
+async def read_page_at(
+    fleet: GatewayFleet,
+    gateway: str,
+    history: SubmissionHistory,
+    after: int = 0,
+) -> PageView | None:
+    """Read results at a gateway; compare them with those read before."""
     request = HttpRequest(
         "GET",
         f"/lots/{history.submission.id}",
         f"after={after}",
         {"host": HOST, "wait-ms": "300"},
     )
-    response = await fleet.send_request(pick_gateway(fleet, rng), request, 3.0)
+    response = await fleet.send_request(gateway, request, 3.0)
     if response is None or response.status != 200:
         if (
             response is not None
--- a/features/support/watch_cases.py
+++ b/features/support/watch_cases.py
@@ -21,6 +21,8 @@
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
 import trio
 
+from .gateway_cases import make_history
+from .gateway_cases import submit_once
 from .watch_scenarios import count_calls
 
 MAX_VIRTUAL_S = 120.0
@@ -28,7 +30,7 @@
 NAMES = [f"g{number}" for number in range(GATEWAYS)]
 
 
-def make_history() -> PrefixHistory:
+def make_prefix_history() -> PrefixHistory:
     """Return a history of one listed item and two changes."""
     history = PrefixHistory("h", [KvEvent("a", b"1", 5)], 6)
     history.record(KvEvent("b", b"1", 8))
@@ -38,13 +40,13 @@
 
 def read_keys(position: HistoryPosition) -> tuple[bool, list[str]]:
     """Return whether a follower gets a snapshot, and of which keys."""
-    page = make_history().read(position, 9)
+    page = make_prefix_history().read(position, 9)
     return page.is_snapshot, [event.key for event in page.events]
 
 
 def read_after_listing() -> tuple[bool, list[str]]:
     """Return what a follower gets that may know a key that was missed."""
-    history = make_history()
+    history = make_prefix_history()
     history.record_listing([KvEvent("b", b"1", 8)], 12)
     page = history.read(HistoryPosition("other", 3, 10, 10), 12)
     return page.is_snapshot, [event.key for event in page.events]
@@ -103,7 +105,7 @@
         (True, ["b"]),
     ),
     "a follower that knows more waits": (
-        lambda: make_history().has_changes(
+        lambda: make_prefix_history().has_changes(
             HistoryPosition("other", 1, 9, 11), 9
         ),
         False,
@@ -231,6 +233,31 @@
     return in_force and calls_per_s < 4.0 * GATEWAYS
 
 
+def count_writes(fleet: GatewayFleet) -> int:
+    """Return the calls that write, without renewals of leases."""
+    return sum(
+        running.kv.calls["write"] - running.kv.renewals
+        for running in fleet.running.values()
+    )
+
+
+async def check_calls_in_outage(fleet: GatewayFleet) -> bool:
+    """Check that a submission in an outage doesn't multiply its calls.
+
+    The accepting gateway tries each 0.15 s; no peer may try with it.
+    """
+    for running in fleet.running.values():
+        running.kv.faults.down = True
+    await trio.sleep(4.0)
+    before = count_writes(fleet)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit_once, fleet, make_history("waits", 3))
+        await trio.sleep(4.0)
+        after = count_writes(fleet)
+        nursery.cancel_scope.cancel()
+    return 10 <= after - before <= 30
+
+
 async def check_restart_of_all(fleet: GatewayFleet) -> bool:
     """Check the calls of a fleet whose gateways restart together."""
     for name in NAMES:
@@ -251,6 +278,7 @@
     "the store responds to no source": check_cut_sources,
     "the store refuses a source": check_refused_source,
     "the store is unavailable to all": check_outage,
+    "a submission waits for the store": check_calls_in_outage,
     "all gateways restart together": check_restart_of_all,
 }
 
--- a/features/support/watch_scenarios.py
+++ b/features/support/watch_scenarios.py
@@ -99,7 +99,7 @@
 def count_calls(fleet: GatewayFleet) -> float:
     """Return all calls to the store; a renewal costs a tenth of a call."""
     return sum(
-        sum(running.kv.calls.values()) - 0.9 * running.kv.calls["renewal"]
+        sum(running.kv.calls.values()) - 0.9 * running.kv.renewals
         for running in fleet.running.values()
     )
 
--- a/features/watch_relay.feature
+++ b/features/watch_relay.feature
@@ -35,6 +35,7 @@
       | the store responds to no source         |
       | the store refuses a source              |
       | the store is unavailable to all         |
+      | a submission waits for the store        |
       | all gateways restart together           |
 
   Scenario Outline: seed <seed>, which failed before
@@ -49,6 +50,8 @@
       | 20   | in the test: the fake's watch outlived a dropped history     |
       | 25   | a poll went through a peer that was cut off too              |
       | 29   | an instance was kept too long after a cut of the gateway     |
+      | 1348 | a source's pause and its lost contact added up to over 2 s   |
+      | 7377180 | a dropped history was taken for an outage                 |
 
   Scenario: many seeds
     Then 25 random watch scenarios violate no guarantee
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -8,7 +8,7 @@
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.gateway.models import GatewayIdentity
-from pistachiospar.kv_access.calls import execute_call
+from pistachiospar.kv_access.calls import execute_for_peer
 from pistachiospar.kv_access.messages import KvCall
 from pistachiospar.kv_access.messages import KvReply
 from pistachiospar.platform import const
@@ -91,7 +91,8 @@
         running = self._fleet.running.get(address)
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
-        return await execute_call(running.kv, call)
+        is_lost = running.coordinator.watch_relay.is_store_lost()
+        return await execute_for_peer(running.kv, call, is_lost)
 
     async def follow(
         self, address: str, call: FollowCall
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -46,7 +46,8 @@
 class FakeKeyValue(CommitBasedKeyValue):
     """One client of a shared store.
 
-    `calls` counts the calls of each kind; the next `stale_reads` reads see
+    `calls` counts the calls of each kind, `renewals` those among the writes
+    that only renew a lease; the next `stale_reads` reads see
     the snapshot that `save_snapshot` took.
     """
 
@@ -55,6 +56,7 @@
         self._store = store
         self.faults = faults
         self.calls: Counter[str] = Counter()
+        self.renewals = 0
         self.stale_reads = 0
         self._writes = 0
         self._snapshot: list[StoredItem] = []
@@ -133,7 +135,8 @@
 
     async def renew_lease(self, lease: int) -> Result[float, KvError]:
         """Renew a lease; return its time to live, 0 when it has expired."""
-        fault = await self._begin_call("renewal")
+        self.renewals += 1
+        fault = await self._begin_call("write")
         if fault is not None:
             return Err(fault)
         return Ok(self._store.renew_lease(lease, trio.current_time()))
@@ -187,7 +190,7 @@
             return Err(fault)
         if after < self._store.compacted_revision:
             return Err(
-                KvError(KvFault.NOT_SENT, "the revision has been compacted")
+                KvError(KvFault.COMPACTED, "the revision has been compacted")
             )
         end = compute_prefix_end(prefix).decode()
         silent = self.faults.silent_poll
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -233,6 +233,11 @@
         """Connect a gateway to the cluster."""
         self._cluster = cluster
         self._gateway = gateway
+        self._connected: set[str] = set()
+
+    def is_connected(self, instance: ListedInstance) -> bool:
+        """Return whether this gateway called the instance before."""
+        return instance.name in self._connected
 
     @asynccontextmanager
     async def call(
@@ -251,6 +256,7 @@
         if sampler.running >= sampler.slots:
             yield FakeResponse(503, not_run=True)
             return
+        self._connected.add(sampler.name)
         sampler.running += 1
         try:
             yield await self._start_run(sampler, call)
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ...kv_access.calls import execute_call
+from ...kv_access.calls import execute_for_peer
 from ...kv_access.calls import PollableKeyValue
 from ...kv_access.messages import KvCall
 from ...submissions.models import ResultPage
@@ -32,9 +32,14 @@
         self,
         read_local: LocalResultsReader,
         kv: PollableKeyValue,
+        is_store_lost: Callable[[], bool],
         follow: FollowServer,
     ) -> None:
-        """Serve results of `read_local`, calls to `kv` and followers."""
+        """Serve results of `read_local`, calls to `kv` and followers.
+
+        Calls to `kv` are refused while `is_store_lost` returns True.
+        """
+        self._is_store_lost = is_store_lost
         self._read_local = read_local
         self._kv = kv
         self._follow = follow
@@ -43,7 +48,8 @@
         """Serve one call of another gateway."""
         if request.path == const.PATH_KV:
             call = msgspec.msgpack.decode(request.body, type=KvCall)
-            reply = await execute_call(self._kv, call)
+            is_lost = self._is_store_lost()
+            reply = await execute_for_peer(self._kv, call, is_lost)
             await exchange.send_response(
                 200, [], msgspec.msgpack.encode(reply)
             )
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -151,13 +151,17 @@
         self.idle_since = now
         return True
 
+    def is_expired(self, now: float) -> bool:
+        """Return whether this connection was idle for too long."""
+        return now - self.idle_since >= self.idle_timeout_s
+
     def is_reusable(self, now: float) -> bool:
         """Return whether this idle connection can send another request.
 
         It can't after its idle timeout, once the server closed it, or when
         unsolicited bytes arrived.
         """
-        if now - self.idle_since >= self.idle_timeout_s:
+        if self.is_expired(now):
             return False
         if not isinstance(self._stream, trio.SocketStream):
             return True
@@ -278,6 +282,13 @@
         connection.close()
         return True
 
+    def has_idle(self, now: float) -> bool:
+        """Return whether a connection is idle, and not for too long.
+
+        It may have been closed by the server since.
+        """
+        return any(not connection.is_expired(now) for connection in self._idle)
+
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -10,7 +10,9 @@
 from . import const
 from ..helpers.backoff import Backoff
 from ..ports.kv import KeyValue
+from ..ports.kv import KvError
 from ..ports.kv import KvEvent
+from ..ports.kv import KvFault
 from ..ports.kv import WATCH_POLL_TIMEOUT_S
 from ..telemetry.logs import log_event
 from .history import HistoryPage
@@ -110,7 +112,7 @@
             sent_at = trio.current_time()
             async for events in watch:
                 if isinstance(events, Err):
-                    self.record_failure(events.err_value.detail, sent_at)
+                    self._end_watch(events.err_value, sent_at)
                     return
                 self.record_contact(trio.current_time())
                 self._apply_changes(events.ok_value)
@@ -119,6 +121,14 @@
                     await trio.sleep(self._batch_delay_s)
                 sent_at = trio.current_time()
 
+    def _end_watch(self, error: KvError, sent_at: float) -> None:
+        """Record why a watch ended; a dropped history is no failure."""
+        if error.fault is KvFault.COMPACTED:
+            log_event("watch_history_dropped", prefix=self.prefix)
+            self.record_contact(trio.current_time())
+        else:
+            self.record_failure(error.detail, sent_at)
+
     async def list_once(self) -> bool:
         """List all keys and apply what changed; return whether that worked."""
         sent_at = trio.current_time()
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -12,6 +12,10 @@
 # A failed instance is avoided with exponential backoff.
 AVOID_INITIAL_S: Final = 0.5
 AVOID_MAX_S: Final = 2.0
+# An instance without a connection is used when a call at it is expected to
+# take this many times less.
+MAX_WAIT_RATIO: Final = 1.6
+DEFAULT_DURATION_S: Final = 0.02
 # Consecutive mild failures after which an instance is avoided as well.
 MILD_FAILURES_TO_AVOID: Final = 3
 # Weight of the newest duration in the moving average.
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -17,7 +17,7 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from .health import choose_instance
+from .choice import choose_instance
 from .health import InstanceHealth
 from .models import CallFailure
 from .models import CallOutcome
@@ -65,6 +65,7 @@
 
     def __init__(
         self,
+        gateway: str,
         zone: str,
         samplers: SamplerClient,
         find_instances: Callable[[str, float], list[ListedInstance]],
@@ -72,7 +73,8 @@
         metrics: Metrics,
         rng: Random,
     ) -> None:
-        """Initialize; `zone` is the zone of this gateway."""
+        """Initialize; `gateway` is this gateway's name."""
+        self._gateway = gateway
         self._zone = zone
         self._samplers = samplers
         self._find_instances = find_instances
@@ -136,7 +138,13 @@
         upstream = choose_upstream(route, self._rng)
         instances = self._find_instances(upstream, now)
         return choose_instance(
-            instances, self._health, tried, self._zone, now, self._rng
+            instances,
+            self._health,
+            tried,
+            self._gateway,
+            self._zone,
+            self._samplers.is_connected,
+            now,
         )
 
     def count_slots(self, route: Route) -> int:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/health.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/health.py
@@ -1,14 +1,12 @@
 """Health of the upstream instances, as observed by this gateway's calls."""
 
 from collections.abc import Collection
-from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
 from . import const
 from ..helpers.backoff import Backoff
 from ..ports.sampler import InstanceLoad
-from ..routing.instances import ListedInstance
 
 
 @dataclass(slots=True)
@@ -100,41 +98,3 @@
         if severe or state.failures >= const.MILD_FAILURES_TO_AVOID:
             delay_s = self._backoff.draw_delay_s(state.failures - 1, self._rng)
             state.avoided_until = now + delay_s
-
-
-def choose_instance(
-    instances: Iterable[ListedInstance],
-    health: InstanceHealth,
-    tried: Collection[str],
-    zone: str,
-    now: float,
-    rng: Random,
-) -> ListedInstance | None:
-    """Return the instance with the shortest expected wait.
-
-    Instances that were not tried yet rank first, then those that are not
-    avoided, then those with a free slot; the own zone breaks ties. None when
-    there are no instances.
-    """
-    best: ListedInstance | None = None
-    best_cost: tuple[float, ...] = ()
-    for instance in instances:
-        state = health.get_state(instance.name)
-        load = state.count_load(now)
-        # The 0.02 s let the load count while no duration is known.
-        expected_wait_s = (
-            (load + 1)
-            / max(1, instance.slots)
-            * (state.mean_duration_s + 0.02)
-        )
-        cost = (
-            float(instance.name in tried),
-            float(now < state.avoided_until),
-            float(load >= instance.slots),
-            expected_wait_s,
-            float(instance.zone != zone),
-            rng.random(),
-        )
-        if best is None or cost < best_cost:
-            best, best_cost = instance, cost
-    return best
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -8,6 +8,8 @@
 DRAIN_NOTICE_S: Final = 2.5
 DRAIN_MARGIN_S: Final = 1.0
 HANDOVER_TIMEOUT_S: Final = 1.5
+# Releasing the roles after their state was stored takes at most this long.
+RELEASE_MARGIN_S: Final = 0.7
 RETRY_AFTER_S: Final = 0.2
 # The last response goes out this long before the caller's deadline.
 DEADLINE_MARGIN_S: Final = 0.03
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -18,6 +18,7 @@
 from ..pool_holders.clock import Clocks
 from ..pool_holders.coordinator import HolderCoordinator
 from ..pool_holders.models import HolderRecord
+from ..pool_holders.models import Role
 from ..pool_holders.role_lease import RoleLeaseManager
 from ..ports.kv import KeyValue
 from ..ports.peer_kv import PeerKeyValue
@@ -107,6 +108,7 @@
         )
         self.health = InstanceHealth(rng)
         self.forwarder = Forwarder(
+            identity.name,
             identity.zone,
             samplers,
             self.directory.find_instances,
@@ -151,11 +153,27 @@
             task_status.started()
 
     async def hand_over(self) -> None:
-        """Store the state of all pools held here and release their roles."""
-        for name, role in list(self.holders.roles.items()):
-            await self.pools[name].flush(role)
+        """Store the state of all pools held here and release their roles.
+
+        Items run on meanwhile. A pool that another gateway took is left out.
+        """
+        async with trio.open_nursery() as nursery:
+            for name, role in self.holders.roles.items():
+                nursery.start_soon(self._flush_pool, name, role)
         await self.holders.stop()
 
+    async def _flush_pool(self, name: str, role: Role) -> None:
+        """Store the state of a pool, unless another gateway takes it."""
+        async with trio.open_nursery() as nursery:
+
+            async def flush() -> None:
+                await self.pools[name].flush(role)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(flush)
+            await self.holders.wait_until_left(role)
+            nursery.cancel_scope.cancel()
+
     def is_ready(self, now: float) -> bool:
         """Return whether a configuration is known and its store responds."""
         if not self.directory.has_configuration():
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -71,6 +71,7 @@
             GatewayPeerHandler(
                 reader.read_local,
                 direct_kv,
+                self.coordinator.watch_relay.is_store_lost,
                 self.coordinator.watch_server.serve,
             ).handle
         )
@@ -155,7 +156,9 @@
         log_event("draining", active=self._server.active_requests)
         started_at = trio.current_time()
         self._draining = True
-        with trio.move_on_after(const.HANDOVER_TIMEOUT_S):
+        with trio.move_on_after(
+            compute_handover_limit_s(self._settings.grace_s)
+        ):
             await self.coordinator.hand_over()
         await trio.sleep_until(started_at + const.DRAIN_NOTICE_S)
         self._server.stop()
@@ -165,6 +168,18 @@
         log_event("stopped", cut=self._server.active_requests)
 
 
+def compute_handover_limit_s(grace_s: float) -> float:
+    """Return how long the state of the pools held may take to be stored.
+
+    During an outage of the store that may be nearly all of the time left,
+    since the next holder generates again what is not stored.
+    """
+    return max(
+        const.HANDOVER_TIMEOUT_S,
+        grace_s - const.DRAIN_MARGIN_S - const.RELEASE_MARGIN_S,
+    )
+
+
 def count_caller_connections(max_descriptors: int) -> int:
     """Return how many caller connections the descriptor limit allows."""
     return max(1, (max_descriptors - const.RESERVED_DESCRIPTORS) // 2)
--- a/packages/pistachiospar/src/pistachiospar/kv_access/calls.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/calls.py
@@ -9,6 +9,7 @@
 from . import messages
 from ..ports.kv import KeyValue
 from ..ports.kv import KvError
+from ..ports.kv import KvFault
 from .base import ChangeBatch
 
 
@@ -69,6 +70,20 @@
             return _make_fault_reply(polled)
 
 
+async def execute_for_peer(
+    kv: PollableKeyValue, call: messages.KvCall, is_store_lost: bool
+) -> messages.KvReply:
+    """Execute a peer's call, unless this gateway lacks contact as well.
+
+    Otherwise each call in an outage would become several.
+    """
+    if is_store_lost:
+        return messages.KvReply(
+            fault=KvFault.NOT_SENT, detail="the peer has no contact either"
+        )
+    return await execute_call(kv, call)
+
+
 def _make_fault_reply(failed: Err[KvError]) -> messages.KvReply:
     """Return a reply with the fault of a failed call."""
     error = failed.err_value
--- a/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
@@ -45,7 +45,9 @@
         self._list_peers = list_peers
         self._metrics = metrics
         self._rng = rng
-        self._relaying_until = float("-inf")
+        # When the service is called again, after it refused calls.
+        self._probe_at = float("-inf")
+        self._path_changed = trio.Event()
         self._relay_paused_until = float("-inf")
 
     async def list_items(
@@ -86,32 +88,111 @@
         self, prefix: str, after: int, wait_s: float = WATCH_POLL_TIMEOUT_S
     ) -> Result[ChangeBatch, KvError]:
         """Return the changes after a revision, and the revision reached."""
-        result = await self._execute(messages.PollCall(prefix, after, wait_s))
-        return result.map(lambda reply: (reply.events, reply.number))
+        call = messages.PollCall(prefix, after, wait_s)
+        while True:
+            result = await self._poll_once(call)
+            if result is not None:
+                return result.map(lambda reply: (reply.events, reply.number))
+
+    async def _poll_once(
+        self, call: messages.PollCall
+    ) -> Result[messages.KvReply, KvError] | None:
+        """Execute a poll; None when its path turned out to be cut."""
+        path_changed = self._path_changed
+        found: list[Result[messages.KvReply, KvError]] = []
+        async with trio.open_nursery() as nursery:
+
+            async def execute() -> None:
+                found.append(await self._execute(call))
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(execute)
+            await path_changed.wait()
+            nursery.cancel_scope.cancel()
+        return found[0] if found else None
 
     async def _execute(
         self, call: messages.KvCall
     ) -> Result[messages.KvReply, KvError]:
         """Execute a call, through a peer while the service refuses calls."""
-        now = trio.current_time()
-        if now < self._relaying_until:
+        if not self._may_call_directly(call):
             relayed = await self._relay_call(call)
             if relayed is not None:
                 return _unwrap_reply(relayed)
-        elif self._relaying_until > 0:
-            # This call probes the service; others still go to peers.
-            self._relaying_until = now + const.PROBE_TIMEOUT_S
+        if isinstance(call, messages.RenewCall):
+            return _unwrap_reply(await self._execute_renewal(call))
         reply = await execute_call(self._direct, call)
         if not self._may_repeat(call, reply):
-            self._relaying_until = float("-inf")
+            self._probe_at = float("-inf")
             return _unwrap_reply(reply)
         relayed = await self._relay_call(call)
         if relayed is None:
             return _unwrap_reply(reply)
-        log_event("store_relayed", error=reply.detail)
-        self._relaying_until = trio.current_time() + const.DIRECT_RETRY_DELAY_S
+        self._start_relaying(reply.detail)
         return _unwrap_reply(relayed)
 
+    def _may_call_directly(self, call: messages.KvCall) -> bool:
+        """Return whether a call goes to the service itself.
+
+        While other calls go through a peer, a renewal from time to time tries
+        the service. A poll doesn't, since it may wait for a long time.
+        """
+        now = trio.current_time()
+        if self._probe_at == float("-inf"):
+            return True
+        match call:
+            case messages.RenewCall():
+                return now >= self._probe_at
+            case messages.PollCall():
+                return False
+            case _:
+                return now >= self._probe_at + (
+                    const.OTHER_RETRY_DELAY_S - const.DIRECT_RETRY_DELAY_S
+                )
+
+    async def _execute_renewal(
+        self, call: messages.RenewCall
+    ) -> messages.KvReply:
+        """Renew a lease, also through a peer if the service is silent.
+
+        So a cut from the service is noticed before calls time out.
+        """
+        replies: list[messages.KvReply] = []
+        async with trio.open_nursery() as nursery:
+
+            async def call_service() -> None:
+                reply = await execute_call(self._direct, call)
+                if not self._may_repeat(call, reply):
+                    self._probe_at = float("-inf")
+                    replies.append(reply)
+                    nursery.cancel_scope.cancel()
+                elif not replies:
+                    failed.append(reply)
+                    refused.set()
+
+            refused = trio.Event()
+            failed: list[messages.KvReply] = []
+            nursery.start_soon(call_service)
+            with trio.move_on_after(const.RENEWAL_HEDGE_DELAY_S):
+                await refused.wait()
+            relayed = await self._relay_call(call)
+            if relayed is not None:
+                detail = failed[0].detail if failed else "no response yet"
+                self._start_relaying(detail)
+                replies.append(relayed)
+                nursery.cancel_scope.cancel()
+            else:
+                await refused.wait()
+        return replies[0] if replies else failed[0]
+
+    def _start_relaying(self, detail: str) -> None:
+        """Let calls go through a peer, also the polls that are waiting."""
+        if self._probe_at == float("-inf"):
+            log_event("store_relayed", error=detail)
+            self._path_changed.set()
+            self._path_changed = trio.Event()
+        self._probe_at = trio.current_time() + const.DIRECT_RETRY_DELAY_S
+
     def _may_repeat(
         self, call: messages.KvCall, reply: messages.KvReply
     ) -> bool:
@@ -121,7 +202,7 @@
         can succeed only once.
         """
         match reply.fault:
-            case None | KvFault.NO_LEASE:
+            case None | KvFault.NO_LEASE | KvFault.COMPACTED:
                 return False
             case KvFault.NOT_SENT:
                 return True
@@ -138,7 +219,7 @@
         self._rng.shuffle(peers)
         for address in peers[: const.MAX_PEERS_TRIED]:
             reply = await self._peers.call_kv(address, call)
-            if reply is not None and reply.fault in (None, KvFault.NO_LEASE):
+            if reply is not None and not self._may_repeat(call, reply):
                 self._metrics.count("kv_calls_relayed")
                 return reply
         self._relay_paused_until = trio.current_time() + const.RELAY_PAUSE_S
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -217,6 +217,15 @@
             )
         )
 
+    def is_connected(self, instance: ListedInstance) -> bool:
+        """Return whether there is an idle connection to a sampler."""
+        pool = self._pools.get(instance.name)
+        return (
+            pool is not None
+            and pool.address == instance.address
+            and pool.has_idle(trio.current_time())
+        )
+
     def retain_only(self, names: set[str]) -> None:
         """Close the connections to all instances except the named ones."""
         for name in [name for name in self._pools if name not in names]:
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -26,6 +26,7 @@
 from ..ports.kv import WATCH_POLL_TIMEOUT_S
 
 Message = TypeVar("Message")
+STATUS_GONE = 410
 
 
 class ItemMessage(msgspec.Struct):
@@ -252,6 +253,8 @@
             return Err(KvError(KvFault.UNKNOWN, f"{target}: {error!r}"))
         if response.status == 200 or response.status in expected:
             return Ok((response.status, response.body))
+        if response.status == STATUS_GONE:
+            return Err(KvError(KvFault.COMPACTED, target))
         # 429, 503 and the other refusals guarantee that nothing was done.
         refused = response.status < 500 or response.status == 503
         fault = KvFault.NOT_SENT if refused else KvFault.UNKNOWN
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
@@ -23,7 +23,13 @@
 # instead of one per gateway.
 CANDIDACY_DELAY_S: Final = 0.3
 CANDIDACY_JITTER_S: Final = 0.15
+# After an outage of the store the last holder acquires its pool again before
+# the others try: it has the work in memory.
+LAST_HOLDER_DELAY_S: Final = 0.35
+OUTAGE_RECENT_S: Final = 1.5
 # A gateway with at least this much CPU waits only for the jitter.
 NO_DELAY_CPU_CAPACITY: Final = 2.0
 RETRY_DELAY_S: Final = 0.3
+# A renewal that failed is repeated after this long.
+RENEW_RETRY_DELAY_S: Final = 0.25
 RELEASE_TIMEOUT_S: Final = 0.6
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
@@ -133,6 +133,11 @@
         for role in list(self.roles.values()):
             await self._role_leases.release_role(role)
 
+    async def wait_until_left(self, role: Role) -> None:
+        """Wait until this gateway no longer holds a role."""
+        while self.roles.get(role.pool) is role:
+            await self._changed.wait()
+
     def _may_acquire(self, pool: str) -> bool:
         """Return whether this gateway may try to acquire a pool."""
         record = self.holders.get(pool)
@@ -151,9 +156,13 @@
             while not self._may_acquire(pool) and not self._stopping:
                 await self._changed.wait()
             if pool not in self.holders:
-                await trio.sleep(
-                    choose_candidacy_delay_s(self._cpu_capacity, self._rng)
+                outage_s = trio.current_time() - self.mirror.regained_at
+                delay_s = choose_candidacy_delay_s(
+                    self._cpu_capacity,
+                    outage_s < const.OUTAGE_RECENT_S,
+                    self._rng,
                 )
+                await trio.sleep(delay_s)
             if self._may_acquire(pool):
                 return
 
@@ -168,6 +177,7 @@
                 )
         finally:
             del self.roles[role.pool]
+            self._notify_changed()
         log_event("role_left", pool=role.pool, fence=role.fence)
 
     async def _renew_until_deposed(
@@ -184,15 +194,34 @@
     async def _renew_or_reacquire(self, role: Role) -> None:
         """Renew a role; reacquire it if it was lost and is vacant."""
         while not self._stopping:
-            await self._role_leases.renew_until_lost(role)
+            await self._renew_until_lost(role)
             while role.lost and not self._stopping:
-                await trio.sleep(const.RETRY_DELAY_S * self._rng.random())
-                if self.holders.get(role.pool) is not None:
-                    continue
-                reacquired = await self._role_leases.acquire_role(role.pool, 0)
-                if reacquired is not None:
-                    role.fence, role.lease = reacquired.fence, reacquired.lease
-                    role.valid_until, role.lost = reacquired.valid_until, False
+                record = self.holders.get(role.pool)
+                if record is None or record.life == self._own_record.life:
+                    await self._reacquire(role)
+                if role.lost:
+                    await trio.sleep(const.RETRY_DELAY_S * self._rng.random())
+
+    async def _renew_until_lost(self, role: Role) -> None:
+        """Renew a role until its lease ends or its key is deleted."""
+        async with trio.open_nursery() as nursery:
+
+            async def renew() -> None:
+                await self._role_leases.renew_until_lost(role)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(renew)
+            while not role.lost:
+                await self._changed.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _reacquire(self, role: Role) -> None:
+        """Acquire a role anew if it is vacant; its pool keeps its state."""
+        reacquired = await self._role_leases.acquire_role(role.pool, 0)
+        if reacquired is None:
+            return
+        role.fence, role.lease = reacquired.fence, reacquired.lease
+        role.valid_until, role.lost = reacquired.valid_until, False
 
     def _is_deposed(self, role: Role) -> bool:
         """Return whether another process acquired the pool since."""
@@ -240,14 +269,17 @@
         self._changed = trio.Event()
 
 
-def choose_candidacy_delay_s(cpu_capacity: float, rng: Random) -> float:
+def choose_candidacy_delay_s(
+    cpu_capacity: float, is_after_outage: bool, rng: Random
+) -> float:
     """Return the seconds to wait before trying for a vacant pool.
 
     Gateways with more CPU go first, since all streams of a pool pass through
-    its holder.
+    its holder. After an outage all leave the last holder some time.
     """
     missing_share = max(0.0, 1.0 - cpu_capacity / const.NO_DELAY_CPU_CAPACITY)
     return (
         const.CANDIDACY_DELAY_S * missing_share
         + const.CANDIDACY_JITTER_S * rng.random()
+        + const.LAST_HOLDER_DELAY_S * is_after_outage
     )
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/role_lease.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/role_lease.py
@@ -65,13 +65,16 @@
 
     async def renew_until_lost(self, role: Role) -> bool:
         """Renew a role until it is lost, then return False."""
+        delay_s = self._lease_s * const.RENEW_INTERVAL_SHARE
         while True:
-            await trio.sleep(self._lease_s * const.RENEW_INTERVAL_SHARE)
+            await trio.sleep(delay_s)
             sent_at = self._read_boot_s()
             role.renewal_sent_at = sent_at
             renewed = await self._kv.renew_lease(role.lease)
             if isinstance(renewed, Err) and not role.lost:
+                delay_s = const.RENEW_RETRY_DELAY_S
                 continue
+            delay_s = self._lease_s * const.RENEW_INTERVAL_SHARE
             if role.lost or renewed.unwrap_or(0.0) <= 0:
                 role.lost = True
                 log_event("role_lapsed", pool=role.pool, fence=role.fence)
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -20,11 +20,13 @@
     """What is known of the effect of a failed call.
 
     NOT_SENT and NO_LEASE (the lease has expired) certainly had no effect;
-    UNKNOWN may have had one.
+    UNKNOWN may have had one. COMPACTED is the service's response to a watch
+    whose changes it no longer has.
     """
 
     NOT_SENT = "not-sent"
     NO_LEASE = "no-lease"
+    COMPACTED = "compacted"
     UNKNOWN = "unknown"
 
 
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -137,5 +137,8 @@
     ) -> Result[SamplerReport, str]:
         """Fetch the instance's status report."""
 
+    def is_connected(self, instance: ListedInstance) -> bool:
+        """Return whether a call there needs no new connection."""
+
     def retain_only(self, names: set[str]) -> None:
         """Close the connections to all instances but the named ones."""
--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -57,11 +57,14 @@
             await trio.sleep(const.CHECKPOINT_INTERVAL_S)
             await self.write_checkpoint(role)
 
-    async def write_checkpoint(self, role: Role) -> None:
-        """Write a checkpoint if it changed and fits into a value."""
+    async def write_checkpoint(self, role: Role) -> bool:
+        """Write a checkpoint if it changed and fits into a value.
+
+        Return False when it should be written and was not.
+        """
         value = self._encode_progress()
         if value == self._last_written or len(value) > self._max_bytes:
-            return
+            return True
         transaction = KvTransaction(
             (KvCheck(role.key, role.fence),), (KvPut(self._key, value),)
         )
@@ -70,9 +73,12 @@
             log_event(
                 "checkpoint_write_failed", error=written.err_value.detail
             )
-            return
+            return False
+        if not written.ok_value.won:
+            return False
         self._metrics.count("checkpoints")
         self._last_written = value
+        return True
 
     async def load_checkpoint(self) -> dict[str, Progress] | None:
         """Return the last checkpoint by item id; None on a failed read."""
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -57,10 +57,12 @@
             await self._commit_batch(role, choose_batch(states))
 
     async def flush(self, role: Role) -> None:
-        """Commit what is finished, before the role is released."""
-        states = list(self._registry.submissions.values())
-        batch = choose_batch(states)
-        if batch:
+        """Commit what is finished, before the role is released.
+
+        Repeat until nothing is left: a batch may be too large for all, and
+        the role may be lost and acquired again meanwhile.
+        """
+        while batch := choose_batch(list(self._registry.submissions.values())):
             await self._commit_batch(role, batch)
 
     async def _commit_batch(self, role: Role, batch: Batch) -> None:
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -100,9 +100,14 @@
             self._versions.loading.clear()
 
     async def flush(self, role: Role) -> None:
-        """Commit results and write a checkpoint, before a release."""
+        """Commit results and write a checkpoint, before a release.
+
+        Repeat until both succeeded, as after an outage of the store.
+        """
         await self._committer.flush(role)
-        await self._checkpoints.write_checkpoint(role)
+        while not await self._checkpoints.write_checkpoint(role):
+            await trio.sleep(const.RETRY_DELAY_S)
+            await self._committer.flush(role)
 
     def _apply_event(self, event: KvEvent) -> None:
         """Apply a change of a submission's record or of its end mark."""
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/const.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/const.py
@@ -15,11 +15,13 @@
 REPLY_MARGIN_S: Final = 0.35
 # A source proves its contact to the store by renewals of its lease, which
 # cost a tenth of other calls, while it has followers.
-CONTACT_INTERVAL_S: Final = 0.45
-# With an older proof a source may lack changes. A follower notices that, and
-# reads the store itself, within the 2 s in which a configuration must be in
-# force.
-MAX_CONTACT_AGE_S: Final = 1.2
+CONTACT_INTERVAL_S: Final = 0.27
+# Renewals that wait for a response of a slow store.
+MAX_CONTACT_CALLS: Final = 4
+# With an older proof a source may lack changes. With the 0.8 s for which a
+# source collects changes of instances, and the time to find another source,
+# a change is known within 2 s.
+MAX_CONTACT_AGE_S: Final = 0.8
 LISTING_TIMEOUT_S: Final = 1.0
 # A source without calls for this long has no followers.
 FOLLOWER_TIMEOUT_S: Final = 3.0
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/coordinator.py
@@ -75,6 +75,10 @@
                 await self._follow_sources()
                 await self._watch_until_rejoined()
 
+    def is_store_lost(self) -> bool:
+        """Return whether neither this gateway nor a source has contact."""
+        return all(mirror.failures for mirror in self._mirrors)
+
     def _has_to_watch(self) -> bool:
         """Return whether this gateway is a source that the store serves."""
         now = trio.current_time()
@@ -149,7 +153,7 @@
                     pause_s = const.REFUSED_PAUSE_S
                     self._refused_until = trio.current_time() + pause_s
                 has_rejoined = await self._rejoin()
-                if all(mirror.failures for mirror in self._mirrors):
+                if self.is_store_lost():
                     break
             nursery.cancel_scope.cancel()
         self._server.set_watching(False)
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/server.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/server.py
@@ -34,6 +34,7 @@
         self._metrics = metrics
         self._is_watching: bool | None = None
         self._asked_at = float("-inf")
+        self._listing_since = float("-inf")
         self._asked = trio.Event()
         self._changed = trio.Event()
         for mirror in mirrors:
@@ -46,38 +47,44 @@
 
     async def run(self) -> None:
         """Prove the contact to the store while there are followers."""
-        while True:
-            idle_s = trio.current_time() - self._asked_at
-            if not self._is_watching or idle_s > const.FOLLOWER_TIMEOUT_S:
-                await self._asked.wait()
-            if self._is_watching:
-                await self._prove_contact()
-            await trio.sleep(const.CONTACT_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                idle_s = trio.current_time() - self._asked_at
+                if not self._is_watching or idle_s > const.FOLLOWER_TIMEOUT_S:
+                    await self._asked.wait()
+                calls = len(nursery.child_tasks)
+                if self._is_watching and calls < const.MAX_CONTACT_CALLS:
+                    nursery.start_soon(self._prove_contact)
+                await trio.sleep(const.CONTACT_INTERVAL_S)
 
     async def _prove_contact(self) -> None:
         """Call the store; after a time without contact also list anew.
 
         A watch from before that time may have been cut off silently.
         """
-        age_s = self._contact.compute_age_s()
         sent_at = self._read_boot_s()
         if not await self._call_store():
             return
-        if age_s > const.MAX_CONTACT_AGE_S and not await self._list_anew():
-            return
-        self._contact.record(sent_at)
-        self._notify_changed()
-
-    async def _list_anew(self) -> bool:
-        """Restart all watches; return whether all were listed in time."""
-        since = trio.current_time()
-        for mirror in self._mirrors:
-            mirror.restart()
+        if not self._contact.is_recent():
+            await self._list_anew()
+        if self._is_listed():
+            self._contact.record(sent_at)
+            self._notify_changed()
+
+    async def _list_anew(self) -> None:
+        """Restart all watches, unless that is going on, and wait for them."""
+        if self._is_listed():
+            self._listing_since = trio.current_time()
+            for mirror in self._mirrors:
+                mirror.restart()
         with trio.move_on_after(const.LISTING_TIMEOUT_S):
-            while not all(m.listed_at >= since for m in self._mirrors):
+            while not self._is_listed():
                 await self._changed.wait()
-            return True
-        return False
+
+    def _is_listed(self) -> bool:
+        """Return whether all was listed since the last gap of contact."""
+        since = self._listing_since
+        return all(mirror.listed_at >= since for mirror in self._mirrors)
 
     async def serve(self, call: FollowCall) -> FollowReply | None:
         """Reply to a follower; None when this gateway is no source."""
