--- a/features/watch_relay.feature
+++ b/features/watch_relay.feature
@@ -51,6 +51,7 @@
       | 25   | a poll went through a peer that was cut off too              |
       | 29   | an instance was kept too long after a cut of the gateway     |
       | 1348 | a source's pause and its lost contact added up to over 2 s   |
+      | 3056 | in the test: a waiting poll outlived a dropped history       |
       | 7377180 | a dropped history was taken for an outage                 |
 
   Scenario: many seeds
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -183,7 +183,8 @@
     ) -> Result[tuple[list[KvEvent], int], KvError]:
         """Return the changes after a revision and the revision reached.
 
-        Waits up to `wait_s` seconds for a change.
+        Waits up to `wait_s` seconds for a change. A poll that waits while the
+        history is dropped is cut.
         """
         fault = await self._begin_call("watch")
         if fault is not None:
@@ -206,7 +207,8 @@
                     silent = silent or self.faults.silent_poll
                     self._store.expire_leases(trio.current_time())
                     events = self._store.list_events(prefix, end, after + 1)
-        if self.faults.down or silent:
+        was_cut = self._store.compacted_revision > after
+        if self.faults.down or silent or was_cut:
             return Err(KvError(KvFault.UNKNOWN, "watch interrupted"))
         changes = [KvEvent(e.key, e.value, e.revision) for e in events]
         return Ok((changes, max(after, self._store.revision)))
