Refuse at once what can't be served; say when to come back

Cause: a call with no listed instance was held for 0.6 of its time (1.2 s of 2 s), and each 503 said Retry-After 0.2 s, whatever the outage, so that all refused callers came back together and used up their one retry. Change: forwarding/admission.py decides whether a call waits: only while an instance is listed and expected to accept it in time. gateway/retry_after.py chooses Retry-After from when an instance is expected, else from how long the store has been away, with jitter.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -34,6 +34,13 @@
       | a slow instance is left in spite of its connection             |
       | a busy instance is left in spite of its connection             |
       | seldom callers spread over the instances                       |
+      | without any instance a call is refused at once                 |
+      | a call waits for an instance that is avoided for a while       |
+      | a call is refused at once if all are avoided for too long      |
+      | refused callers come back when an instance is expected         |
+      | refused callers come back later in a long outage               |
+      | refused callers come back soon without an outage               |
+      | refused callers come back at different times                   |
       | a retry goes to another instance                               |
       | a complete group is committed at once                          |
       | an incomplete group waits for the rest                         |
@@ -56,6 +63,7 @@
       | an unknown outcome is not reported as refused      |
       | calls meet their target beside a slow instance     |
       | no reachable instance: refused before the deadline |
+      | no listed instance: refused at once                 |
       | no response: unknown outcome before the deadline   |
       | a starting gateway does not refuse calls           |
       | an ended submission is deleted after its retention |
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -187,6 +187,15 @@
     return status == 503 and took_s <= 0.8
 
 
+async def check_no_instance(fleet: GatewayFleet) -> bool:
+    """Check that a call is refused at once when no instance is listed."""
+    for name in ("a0", "a1"):
+        fleet.remove_sampler(name)
+    await trio.sleep(1.2)
+    status, took_s = await call_plain(fleet, "c1", deadline_ms=2000)
+    return status == 503 and took_s <= 0.05
+
+
 async def check_no_response(fleet: GatewayFleet) -> bool:
     """Check that a call that gets no response in time ends with status 504."""
     for sampler in fleet.cluster.samplers.values():
@@ -464,6 +473,7 @@
     "an unknown outcome is not reported as refused": check_unknown_outcome,
     "calls meet their target beside a slow instance": check_slow_instance,
     "no reachable instance: refused before the deadline": check_unreachable,
+    "no listed instance: refused at once": check_no_instance,
     "no response: unknown outcome before the deadline": check_no_response,
     "a starting gateway does not refuse calls": check_starting_gateway,
     "an ended submission is deleted after its retention": check_retention,
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -4,8 +4,11 @@
 from random import Random
 
 from pistachiospar.adapters.http.client import Address
+from pistachiospar.forwarding.admission import estimate_available_s
+from pistachiospar.forwarding.admission import may_wait
 from pistachiospar.forwarding.choice import choose_instance
 from pistachiospar.forwarding.health import InstanceHealth
+from pistachiospar.gateway.retry_after import choose_retry_after_s
 from pistachiospar.pool_holders.coordinator import choose_candidacy_delay_s
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.routing.instances import ListedInstance
@@ -118,6 +121,35 @@
     return " ".join(load.instance for load in chosen) or "none"
 
 
+def estimate_wait(avoided_s: tuple[float, ...], remaining_s: float) -> str:
+    """Return whether a call waits for instances that are avoided so long."""
+    health = InstanceHealth(Random(1))
+    instances = []
+    for number, wait_s in enumerate(avoided_s):
+        health.get_state(f"i{number}").avoided_until = NOW + wait_s
+        address = Address("127.0.0.1", 1)
+        instances.append(
+            ListedInstance(f"i{number}", "u", address, "z", 4, False)
+        )
+    available_s = estimate_available_s(instances, health, NOW)
+    return "waits" if may_wait(available_s, remaining_s) else "refused"
+
+
+def count_distinct_waits() -> int:
+    """Return at how many times twenty refused callers come back."""
+    rng = Random(1)
+    return len({choose_retry_after_s(None, 4.0, rng) for _ in range(20)})
+
+
+def choose_wait_range(expected_s: float | None, outage_s: float) -> str:
+    """Return the range of times at which refused callers come back."""
+    rng = Random(1)
+    found = [
+        choose_retry_after_s(expected_s, outage_s, rng) for _ in range(99)
+    ]
+    return f"{min(found):.1f} to {max(found):.1f} s"
+
+
 def is_avoided(failures: int, severe: bool, after_s: float) -> bool:
     """Return whether an instance is avoided some time after failures."""
     health = InstanceHealth(Random(1))
@@ -342,6 +374,34 @@
         "b",
     ),
     "seldom callers spread over the instances": (count_first_choices, 4),
+    "without any instance a call is refused at once": (
+        lambda: estimate_wait((), 2.0),
+        "refused",
+    ),
+    "a call waits for an instance that is avoided for a while": (
+        lambda: estimate_wait((0.5, 3.0), 2.0),
+        "waits",
+    ),
+    "a call is refused at once if all are avoided for too long": (
+        lambda: estimate_wait((1.8, 3.0), 2.0),
+        "refused",
+    ),
+    "refused callers come back when an instance is expected": (
+        lambda: choose_wait_range(0.5, 9.0),
+        "0.5 to 0.8 s",
+    ),
+    "refused callers come back later in a long outage": (
+        lambda: choose_wait_range(None, 4.0),
+        "1.6 to 2.4 s",
+    ),
+    "refused callers come back soon without an outage": (
+        lambda: choose_wait_range(None, 0.0),
+        "0.2 to 0.3 s",
+    ),
+    "refused callers come back at different times": (
+        lambda: count_distinct_waits() > 10,
+        True,
+    ),
     "a retry goes to another instance": (
         lambda: choose_for_call({"a": 3, "b": 1}, {"b"}),
         "a",
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -100,6 +100,13 @@
             or now - self.last_success_at > const.UNAVAILABLE_AFTER_S
         )
 
+    def compute_outage_s(self, now: float) -> float:
+        """Return for how long the service has not responded, 0 if it does."""
+        if not self.failures:
+            return 0.0
+        since = self.last_success_at
+        return now - since if since is not None else 0.0
+
     async def list_and_watch(self) -> None:
         """List all keys, then apply changes until the watch ends."""
         if not await self.list_once():
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -17,6 +17,8 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .admission import estimate_available_s
+from .admission import may_wait
 from .choice import choose_instance
 from .health import InstanceHealth
 from .models import CallFailure
@@ -129,7 +131,25 @@
             fault=kind.value,
             detail=attempts.detail,
         )
-        return CallFailure(kind, attempts.detail)
+        now = trio.current_time()
+        return CallFailure(
+            kind, attempts.detail, self._estimate_available_s(call.route, now)
+        )
+
+    def _estimate_available_s(self, route: Route, now: float) -> float | None:
+        """Return after how many seconds an instance may accept a call."""
+        instances = [
+            instance
+            for share in route.shares
+            for instance in self._find_instances(share.upstream, now)
+        ]
+        return estimate_available_s(instances, self._health, now)
+
+    def _may_wait(self, call: ForwardCall) -> bool:
+        """Return whether a call without an instance should wait for one."""
+        now = trio.current_time()
+        available_s = self._estimate_available_s(call.route, now)
+        return may_wait(available_s, call.give_up_at - now)
 
     def pick_instance(
         self, route: Route, tried: set[str], now: float
@@ -178,6 +198,8 @@
                 if not started and attempts.running == 0:
                     if attempts.started >= call.max_attempts:
                         return attempts.server_error
+                    if attempts.may_refuse() and not self._may_wait(call):
+                        return None
                     await trio.sleep(const.RETRY_DELAY_S)
                     continue
             outcome = await self._wait_for_outcome(attempts, outcomes)
@@ -196,6 +218,8 @@
                     attempts.refusals += 1
                     attempts.detail = outcome.detail
                     if attempts.refusals >= const.MAX_REFUSALS:
+                        if attempts.may_refuse() and not self._may_wait(call):
+                            return None
                         await trio.sleep(const.RETRY_DELAY_S)
                         attempts.tried.clear()
                 case CallFailure(FailureKind.LOST):
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -48,10 +48,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailure:
-    """The result of an attempt, or of a whole call, without a response."""
+    """The result of an attempt, or of a whole call, without a response.
+
+    `expected_s` is after how many seconds an instance may accept the call,
+    None when that is not known.
+    """
 
     kind: FailureKind
     detail: str
+    expected_s: float | None = None
 
 
 CallOutcome = CallResponse | CallFailure
@@ -62,5 +67,5 @@
     match outcome:
         case CallResponse(status=status, instance=instance):
             return f"{status} from {instance}"
-        case CallFailure(kind, detail):
+        case CallFailure(kind=kind, detail=detail):
             return f"{kind.value}: {detail}"
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -10,7 +10,10 @@
 HANDOVER_TIMEOUT_S: Final = 1.5
 # Releasing the roles after their state was stored takes at most this long.
 RELEASE_MARGIN_S: Final = 0.7
-RETRY_AFTER_S: Final = 0.2
+RETRY_AFTER_MIN_S: Final = 0.2
+RETRY_AFTER_MAX_S: Final = 2.0
+RETRY_AFTER_OUTAGE_SHARE: Final = 0.4
+RETRY_AFTER_JITTER: Final = 0.5
 # The last response goes out this long before the caller's deadline.
 DEADLINE_MARGIN_S: Final = 0.03
 POOL_CHECK_INTERVAL_S: Final = 1.0
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -129,6 +129,7 @@
             self.reader,
             clocks.read_wall_s,
             self.metrics,
+            rng,
         )
         self._confirmed_retirements: dict[str, int] = {}
         self._table_changed = trio.Event()
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import replace
+from random import Random
 
 from result import Err
 from result import Ok
@@ -45,6 +46,7 @@
 from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .retry_after import choose_retry_after_s
 
 _JSON_HEADERS: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
 
@@ -61,8 +63,10 @@
         reader: SubmissionReader,
         read_wall_s: Callable[[], float],
         metrics: Metrics,
+        rng: Random,
     ) -> None:
         """Initialize; `read_wall_s` returns Unix time."""
+        self._rng = rng
         self._directory = directory
         self._forwarder = forwarder
         self._streams = streams
@@ -155,9 +159,11 @@
                 return
             case CallResponse(status, headers, body):
                 await exchange.send_response(status, headers, body)
-            case CallFailure(FailureKind.NOT_RUN, detail):
+            case CallFailure(FailureKind.NOT_RUN, detail, expected_s):
                 problem = refuse_not_run("not-run", detail)
-                await self._refuse(exchange, caller, problem)
+                await self._refuse(
+                    exchange, caller, problem, expected_s=expected_s
+                )
             case CallFailure(FailureKind.LOST, detail):
                 problem = report_unknown_outcome("answer-lost", detail)
                 if trio.current_time() >= call.give_up_at:
@@ -295,8 +301,12 @@
         caller: CallerHeaders,
         problem: Problem,
         submission: str = "",
+        expected_s: float | None = None,
     ) -> None:
-        """Send a problem, and count and log it."""
+        """Send a problem, and count and log it.
+
+        `expected_s` is when the caller can be served, if that is known.
+        """
         self._metrics.count(f"refused_{problem.kind}")
         log_event(
             "request_refused",
@@ -311,11 +321,17 @@
             (n, v) for n, v in problem.make_headers() if n != "Retry-After"
         ]
         if problem.retry_after_s is not None:
-            headers.append(("Retry-After", str(const.RETRY_AFTER_S)))
+            headers.append(("Retry-After", str(self._find_wait_s(expected_s))))
         await exchange.send_response(
             problem.status, headers, problem.encode_body()
         )
 
+    def _find_wait_s(self, expected_s: float | None) -> float:
+        """Return the seconds after which a caller should come back."""
+        mirror = self._directory.configuration_mirror
+        outage_s = mirror.compute_outage_s(trio.current_time())
+        return choose_retry_after_s(expected_s, outage_s, self._rng)
+
 
 _UNKNOWN_SUBMISSION = refuse_input(
     "unknown-submission", "no submission has this id", 404
