Split two support modules of the gateway tests

Change: cases of holders in outages and policies of plain calls have modules of their own; cases, bounds and texts are unchanged.

--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -5,55 +5,28 @@
 from random import Random
 
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.gateway.process import compute_handover_limit_s
-from pistachiospar.platform.callers import encode_submission
-from pistachiospar.submissions.models import Submission
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import APP
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
 from pistachiospar_standins.fakes.gateway_fleet import HOST
 from pistachiospar_standins.fakes.gateway_fleet import PLAIN_PREFIX
-from pistachiospar_standins.fakes.gateway_fleet import POOL
-from pistachiospar_standins.fakes.gateway_fleet import ROLLOUT_PREFIX
 from pistachiospar_standins.fakes.gateway_fleet import STREAM_PREFIX
 from pistachiospar_standins.fakes.recorders import ResponseRecorder
 from pistachiospar_standins.fakes.samplers import make_output
 import trio
 
+from . import holder_cases
+from .histories import make_history
+from .histories import make_submission_request
 from .submission_checks import SubmissionHistory
 from .submission_scenarios import end_submission
-from .submission_scenarios import make_item
 from .submission_scenarios import read_page
-from .submission_scenarios import read_page_at
 from .submission_scenarios import submit
 
 MAX_VIRTUAL_S = 240.0
 
 
-def make_history(name: str, items: int) -> SubmissionHistory:
-    """Return the empty history of a submission for model m0.
-
-    Its items are in groups of three.
-    """
-    return SubmissionHistory(
-        Submission(
-            name,
-            HOST,
-            f"{ROLLOUT_PREFIX}m0/",
-            "m0",
-            0,
-            1,
-            2,
-            [
-                make_item(f"{name}-{number}", "m0", f"g{number // 3}")
-                for number in range(items)
-            ],
-            0.0,
-        )
-    )
-
-
 async def call_plain(
     fleet: GatewayFleet, call_id: str, deadline_ms: int = 2000
 ) -> tuple[int, float]:
@@ -148,18 +121,6 @@
     return stored and response.status not in (0, 429, 503)
 
 
-def make_submission_request(history: SubmissionHistory) -> HttpRequest:
-    """Return the request that submits a submission."""
-    submission = history.submission
-    return HttpRequest(
-        "POST",
-        submission.path,
-        "",
-        {"host": HOST, "request-id": submission.id, "deadline-ms": "12000"},
-        encode_submission(submission),
-    )
-
-
 async def submit_once(
     fleet: GatewayFleet, history: SubmissionHistory
 ) -> ResponseRecorder:
@@ -376,95 +337,6 @@
     return True
 
 
-async def check_cut_holder(fleet: GatewayFleet) -> bool:
-    """Check that a holder that is cut off from the store notices it soon.
-
-    Its calls get no response and its watch stays silent, while its peers
-    reach the store: a submission is loaded within 1.5 s, not only when the
-    watch has timed out. It is repeated at five phases of the watch.
-    """
-    name = fleet.find_holder()
-    assert name is not None
-    other = next(n for n in fleet.running if n != name)
-    faults = fleet.running[name].kv.faults
-    registry = fleet.running[name].coordinator.pools[POOL].registry
-    for phase in range(5):
-        faults.latency_s, faults.silent_poll = 0.002, False
-        await trio.sleep(6.0 + 0.5 * phase)
-        faults.latency_s, faults.silent_poll = 3.0, True
-        await trio.sleep(0.1)
-        history = make_history(f"heard{phase}", 3)
-        request = make_submission_request(history)
-        await fleet.send_request(other, request)
-        await trio.sleep(1.5)
-        if f"heard{phase}" not in registry.submissions:
-            return False
-    return fleet.find_holder() == name
-
-
-async def check_long_cut(fleet: GatewayFleet) -> bool:
-    """Check that a holder that stays cut off commits without long pauses.
-
-    Each call that tries the store itself again takes until its timeout.
-    """
-    name = fleet.find_holder()
-    assert name is not None
-    faults = fleet.running[name].kv.faults
-    faults.latency_s, faults.silent_poll = 3.0, True
-    await trio.sleep(4.0)
-    other = next(n for n in fleet.running if n != name)
-    for number in range(8):
-        history = make_history(f"long{number}", 3)
-        request = make_submission_request(history)
-        await fleet.send_request(other, request)
-        with trio.move_on_after(2.0):
-            while True:
-                page = await read_page_at(fleet, other, history)
-                if page is not None and len(page.results) == 3:
-                    break
-                await trio.sleep(0.05)
-        if page is None or len(page.results) < 3:
-            return False
-    return fleet.find_holder() == name
-
-
-async def check_stop_in_outage(fleet: GatewayFleet) -> bool:
-    """Check that a holder that stops in a store outage loses no work.
-
-    It is terminated while its results can't be committed; the store is back
-    before it has to exit.
-    """
-    name = fleet.find_holder()
-    assert name is not None
-    history = make_history("stopped", 12)
-    await submit(fleet, history, Random(1))
-    await trio.sleep(0.05)
-    for running in fleet.running.values():
-        running.kv.faults.down = True
-    await trio.sleep(1.0)
-    stopped = False
-
-    async def stop() -> None:
-        nonlocal stopped
-        with trio.move_on_after(compute_handover_limit_s(8.0)):
-            await fleet.running[name].coordinator.hand_over()
-        fleet.kill_gateway(name)
-        stopped = True
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop)
-        await trio.sleep(4.0)
-        for running in fleet.running.values():
-            running.kv.faults.down = False
-    await trio.sleep(4.0)
-    other = next(iter(fleet.running))
-    page = await read_page_at(fleet, other, history)
-    names = [item.id for item in history.submission.items]
-    runs = [run for run in fleet.cluster.runs if run.call_id in names]
-    done = page is not None and len(page.results) == 12
-    return stopped and done and len(runs) == 12
-
-
 CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
     "a failed sampler is not retried all the time": check_failed_sampler,
     "a holder keeps its role while the store refuses it": check_refused_holder,
@@ -480,11 +352,7 @@
     "the next holder resumes the work of a crashed one": check_holder_crash,
     "a delisted sampler gets no work": check_delisted_sampler,
     "a change missed by silent watches is known in time": check_silent_watches,
-    "a holder that is cut off from the store notices it": check_cut_holder,
-    "a holder that stays cut off commits without pauses": check_long_cut,
-    "a holder that stops in a store outage loses no work": (
-        check_stop_in_outage
-    ),
+    **holder_cases.CASES,
     "only the holder follows named versions": check_named_versions,
     "an interrupted stream resumes elsewhere": check_resumed_streams,
     "a truncated stream never looks complete": check_unresumable_streams,
--- /dev/null
+++ b/features/support/holder_cases.py
@@ -0,0 +1,113 @@
+"""Cases of a holder that is cut off from the store, or stops meanwhile."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+
+from pistachiospar.gateway.process import compute_handover_limit_s
+from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
+from pistachiospar_standins.fakes.gateway_fleet import POOL
+import trio
+
+from .histories import make_history
+from .histories import make_submission_request
+from .submission_scenarios import read_page_at
+from .submission_scenarios import submit
+
+
+async def check_cut_holder(fleet: GatewayFleet) -> bool:
+    """Check that a holder that is cut off from the store notices it soon.
+
+    Its calls get no response and its watch stays silent, while its peers
+    reach the store: a submission is loaded within 1.5 s, not only when the
+    watch has timed out. It is repeated at five phases of the watch.
+    """
+    name = fleet.find_holder()
+    assert name is not None
+    other = next(n for n in fleet.running if n != name)
+    faults = fleet.running[name].kv.faults
+    registry = fleet.running[name].coordinator.pools[POOL].registry
+    for phase in range(5):
+        faults.latency_s, faults.silent_poll = 0.002, False
+        await trio.sleep(6.0 + 0.5 * phase)
+        faults.latency_s, faults.silent_poll = 3.0, True
+        await trio.sleep(0.1)
+        history = make_history(f"heard{phase}", 3)
+        request = make_submission_request(history)
+        await fleet.send_request(other, request)
+        await trio.sleep(1.5)
+        if f"heard{phase}" not in registry.submissions:
+            return False
+    return fleet.find_holder() == name
+
+
+async def check_long_cut(fleet: GatewayFleet) -> bool:
+    """Check that a holder that stays cut off commits without long pauses.
+
+    Each call that tries the store itself again takes until its timeout.
+    """
+    name = fleet.find_holder()
+    assert name is not None
+    faults = fleet.running[name].kv.faults
+    faults.latency_s, faults.silent_poll = 3.0, True
+    await trio.sleep(4.0)
+    other = next(n for n in fleet.running if n != name)
+    for number in range(8):
+        history = make_history(f"long{number}", 3)
+        request = make_submission_request(history)
+        await fleet.send_request(other, request)
+        with trio.move_on_after(2.0):
+            while True:
+                page = await read_page_at(fleet, other, history)
+                if page is not None and len(page.results) == 3:
+                    break
+                await trio.sleep(0.05)
+        if page is None or len(page.results) < 3:
+            return False
+    return fleet.find_holder() == name
+
+
+async def check_stop_in_outage(fleet: GatewayFleet) -> bool:
+    """Check that a holder that stops in a store outage loses no work.
+
+    It is terminated while its results can't be committed; the store is back
+    before it has to exit.
+    """
+    name = fleet.find_holder()
+    assert name is not None
+    history = make_history("stopped", 12)
+    await submit(fleet, history, Random(1))
+    await trio.sleep(0.05)
+    for running in fleet.running.values():
+        running.kv.faults.down = True
+    await trio.sleep(1.0)
+    stopped = False
+
+    async def stop() -> None:
+        nonlocal stopped
+        with trio.move_on_after(compute_handover_limit_s(8.0)):
+            await fleet.running[name].coordinator.hand_over()
+        fleet.kill_gateway(name)
+        stopped = True
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop)
+        await trio.sleep(4.0)
+        for running in fleet.running.values():
+            running.kv.faults.down = False
+    await trio.sleep(4.0)
+    other = next(iter(fleet.running))
+    page = await read_page_at(fleet, other, history)
+    names = [item.id for item in history.submission.items]
+    runs = [run for run in fleet.cluster.runs if run.call_id in names]
+    done = page is not None and len(page.results) == 12
+    return stopped and done and len(runs) == 12
+
+
+CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
+    "a holder that is cut off from the store notices it": check_cut_holder,
+    "a holder that stays cut off commits without pauses": check_long_cut,
+    "a holder that stops in a store outage loses no work": (
+        check_stop_in_outage
+    ),
+}
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -4,11 +4,7 @@
 from random import Random
 
 from pistachiospar.adapters.http.client import Address
-from pistachiospar.forwarding.admission import estimate_available_s
-from pistachiospar.forwarding.admission import may_wait
-from pistachiospar.forwarding.choice import choose_instance
 from pistachiospar.forwarding.health import InstanceHealth
-from pistachiospar.gateway.retry_after import choose_retry_after_s
 from pistachiospar.pool_holders.coordinator import choose_candidacy_delay_s
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.routing.instances import ListedInstance
@@ -29,6 +25,8 @@
 from pistachiospar.weight_versions.decisions import ModelNeed
 from pistachiospar.weight_versions.demand import share_instances
 
+from . import call_policies
+
 NOW = 100.0
 
 
@@ -121,35 +119,6 @@
     return " ".join(load.instance for load in chosen) or "none"
 
 
-def estimate_wait(avoided_s: tuple[float, ...], remaining_s: float) -> str:
-    """Return whether a call waits for instances that are avoided so long."""
-    health = InstanceHealth(Random(1))
-    instances = []
-    for number, wait_s in enumerate(avoided_s):
-        health.get_state(f"i{number}").avoided_until = NOW + wait_s
-        address = Address("127.0.0.1", 1)
-        instances.append(
-            ListedInstance(f"i{number}", "u", address, "z", 4, False)
-        )
-    available_s = estimate_available_s(instances, health, NOW)
-    return "waits" if may_wait(available_s, remaining_s) else "refused"
-
-
-def count_distinct_waits() -> int:
-    """Return at how many times twenty refused callers come back."""
-    rng = Random(1)
-    return len({choose_retry_after_s(None, 4.0, rng) for _ in range(20)})
-
-
-def choose_wait_range(expected_s: float | None, outage_s: float) -> str:
-    """Return the range of times at which refused callers come back."""
-    rng = Random(1)
-    found = [
-        choose_retry_after_s(expected_s, outage_s, rng) for _ in range(99)
-    ]
-    return f"{min(found):.1f} to {max(found):.1f} s"
-
-
 def is_avoided(failures: int, severe: bool, after_s: float) -> bool:
     """Return whether an instance is avoided some time after failures."""
     health = InstanceHealth(Random(1))
@@ -158,55 +127,6 @@
     return NOW + after_s < health.get_state("a").avoided_until
 
 
-def choose_for_call(
-    in_flight: dict[str, int],
-    tried: set[str],
-    connected: str = "",
-    durations_s: tuple[float, ...] = (),
-    caller: str = "g1",
-) -> str:
-    """Return the instance of a plain call, by the calls in flight.
-
-    `durations_s` has the mean duration of a call at each instance.
-    """
-    health = InstanceHealth(Random(1))
-    instances = []
-    for name, load in in_flight.items():
-        health.get_state(name).in_flight = load
-    for name, duration_s in zip(in_flight, durations_s):
-        health.get_state(name).mean_duration_s = duration_s
-    for name in in_flight:
-        address = Address("127.0.0.1", 1)
-        instances.append(ListedInstance(name, "u", address, "z", 4, False))
-    chosen = choose_instance(
-        instances,
-        health,
-        tried,
-        caller,
-        "z",
-        lambda i: i.name in connected,
-        NOW,
-    )
-    return chosen.name if chosen else "none"
-
-
-def count_first_choices() -> int:
-    """Return how many of four instances forty gateways call first."""
-    idle = dict.fromkeys("abcd", 0)
-    names = [f"g{number}" for number in range(40)]
-    chosen = [choose_for_call(idle, set(), caller=name) for name in names]
-    return sum(chosen.count(name) >= 5 for name in idle)
-
-
-def count_connections(calls: int) -> int:
-    """Return how many connections a gateway with one call at a time opens."""
-    connected = ""
-    for _ in range(calls):
-        chosen = choose_for_call(dict.fromkeys("abcd", 0), set(), connected)
-        connected = connected + chosen
-    return len(set(connected))
-
-
 def describe_commit(complete_group: bool) -> str:
     """Return when results are committed, and how many."""
     submission = make_submission("a", NOW + 3)
@@ -248,6 +168,7 @@
 ]
 
 CASES: dict[str, tuple[Callable[[], object], object]] = {
+    **call_policies.CASES,
     "items start by due time, then group order, long ones first": (
         list_ordered_items,
         "a0long a0short a1long a1short b0long",
@@ -353,59 +274,6 @@
         lambda: is_avoided(3, False, 0.2),
         True,
     ),
-    "a plain call goes to the instance with the least load": (
-        lambda: choose_for_call({"a": 3, "b": 1}, set()),
-        "b",
-    ),
-    "a seldom caller keeps to one connection": (
-        lambda: count_connections(20),
-        1,
-    ),
-    "a connected instance is preferred to one that was never called": (
-        lambda: choose_for_call({"a": 0, "b": 0}, set(), "b", (0.0, 0.05)),
-        "b",
-    ),
-    "a slow instance is left in spite of its connection": (
-        lambda: choose_for_call({"a": 0, "b": 0}, set(), "a", (0.5, 0.05)),
-        "b",
-    ),
-    "a busy instance is left in spite of its connection": (
-        lambda: choose_for_call({"a": 1, "b": 0}, set(), "a", (0.05, 0.05)),
-        "b",
-    ),
-    "seldom callers spread over the instances": (count_first_choices, 4),
-    "without any instance a call is refused at once": (
-        lambda: estimate_wait((), 2.0),
-        "refused",
-    ),
-    "a call waits for an instance that is avoided for a while": (
-        lambda: estimate_wait((0.5, 3.0), 2.0),
-        "waits",
-    ),
-    "a call is refused at once if all are avoided for too long": (
-        lambda: estimate_wait((1.8, 3.0), 2.0),
-        "refused",
-    ),
-    "refused callers come back when an instance is expected": (
-        lambda: choose_wait_range(0.5, 9.0),
-        "0.5 to 0.8 s",
-    ),
-    "refused callers come back later in a long outage": (
-        lambda: choose_wait_range(None, 4.0),
-        "1.6 to 2.4 s",
-    ),
-    "refused callers come back soon without an outage": (
-        lambda: choose_wait_range(None, 0.0),
-        "0.2 to 0.3 s",
-    ),
-    "refused callers come back at different times": (
-        lambda: count_distinct_waits() > 10,
-        True,
-    ),
-    "a retry goes to another instance": (
-        lambda: choose_for_call({"a": 3, "b": 1}, {"b"}),
-        "a",
-    ),
     "a complete group is committed at once": (
         lambda: describe_commit(complete_group=True),
         "in 0.0 s, 2 results",
--- a/features/support/watch_cases.py
+++ b/features/support/watch_cases.py
@@ -21,8 +21,8 @@
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
 import trio
 
-from .gateway_cases import make_history
 from .gateway_cases import submit_once
+from .histories import make_history
 from .watch_scenarios import count_calls
 
 MAX_VIRTUAL_S = 120.0
