Commit one batch of results at a time; report damaged submissions

Cause: when a holder stopped, flush() committed while run() still had a commit under way. Both wrote the same position; the one that did not win read the stored row back and recorded it, and the late reply of the other recorded it again. The random scenarios never delayed replies of the store, and did not ask whether an ended submission can still be read. Change: a lock around choosing and writing a batch; recording checks that the position follows what is stored and that each result is new, otherwise it is refused, logged (results_out_of_place) and counted. A submission with a hole is its own fault: submission_damaged in log, counts and state dump, status 500 instead of 503 store-away; the holder no longer retries to load it. The fakes delay requests and replies, and return the revision of the write rather than of the reply. The checks see an accepted submission that can't be read.

--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -3,8 +3,10 @@
 from behave.runner import Context
 from behave import then
 from behave import when
+from support import commit_cases
 from support import guard_cases
 from support.seed_checks import check_seeds
+from support.submission_faults import STOP_FAULTS
 from support.submission_scenarios import run_scenario
 
 DRAW_SEED = 20261205
@@ -40,12 +42,34 @@
     )
 
 
+@then("{count:d} random scenarios of stopping holders violate no guarantee")
+def check_stops(context: Context, count: int) -> None:
+    """Check many seeds of holders that stop while commits are under way."""
+    check_seeds(
+        count,
+        DRAW_SEED,
+        lambda number: run_scenario(number, STOP_FAULTS).find_violations(),
+    )
+
+
 @when("a guard is tested alone: {guard}")
 def run_guard(context: Context, guard: str) -> None:
     """Run the case of a guard."""
     context.guard_held = guard_cases.run_case(guard)
 
 
+@when("results are committed while {case}")
+def run_commits(context: Context, case: str) -> None:
+    """Run a case of overlapping commits."""
+    context.commits_hold = commit_cases.run_case(case)
+
+
+@then("each result is stored once, in one order")
+def check_commits(context: Context) -> None:
+    """Check what is stored against what the holder knows."""
+    assert context.commits_hold
+
+
 @then("the guard holds")
 def check_guard(context: Context) -> None:
     """Check that the guard held."""
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -15,11 +15,25 @@
   Scenario: many seeds
     Then 200 random submission scenarios violate no guarantee
 
+  Scenario: many seeds of holders that stop while the store replies late
+    Then 100 random scenarios of stopping holders violate no guarantee
+
   Scenario: a calm scenario commits what was submitted
     When the submission scenario of seed 3 runs
     Then it violates no guarantee
     And at least 20 results are committed
 
+  Scenario Outline: commits of results overlap: <case>
+    When results are committed while <case>
+    Then each result is stored once, in one order
+
+    Examples:
+      | case                                                |
+      | replies arrive late and out of order                |
+      | replies are lost                                    |
+      | the next holder goes on after a commit without reply |
+      | results that are known already are refused          |
+
   Scenario Outline: guard alone: <guard>
     When a guard is tested alone: <guard>
     Then the guard holds
--- /dev/null
+++ b/features/support/commit_cases.py
@@ -0,0 +1,177 @@
+"""Commits of results that overlap, as when a holder stops during one.
+
+Pattern: the stopping holder flushes its results while a commit of the same
+results is still under way, and the replies of the store arrive in any order.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+
+from pistachiospar.pool_holders.models import Role
+from pistachiospar.submissions.archive import Archive
+from pistachiospar.submissions.commits import ResultCommitter
+from pistachiospar.submissions.const import BATCH_DELAY_S
+from pistachiospar.submissions.models import Item
+from pistachiospar.submissions.models import SampleResult
+from pistachiospar.submissions.models import Submission
+from pistachiospar.submissions.registry import make_submission_state
+from pistachiospar.submissions.registry import SubmissionRegistry
+from pistachiospar.telemetry.metrics import Metrics
+from pistachiospar_standins.fakes.entry_fleet import run_virtual
+from pistachiospar_standins.fakes.gateway_fleet import MAX_VALUE_BYTES
+from pistachiospar_standins.fakes.kv import FakeKeyValue
+from pistachiospar_standins.fakes.kv import KvFaultSet
+from pistachiospar_standins.kv.store import Store
+import trio
+
+ROLE_KEY = "holder-key"
+ITEM_COUNT = 12
+SEEDS_PER_CASE = 200
+COMMIT_TIMEOUT_S = 60.0
+
+
+class CommitRun:
+    """A committer over a store whose replies take random times."""
+
+    def __init__(self, seed: int) -> None:
+        """Create a submission with results that are still to be committed."""
+        self.rng = Random(seed)
+        self.store = Store()
+        self.store.write(ROLE_KEY, b"", 0, 0.0)
+        self.faults = KvFaultSet()
+        self.kv = FakeKeyValue(self.store, self.faults)
+        self.metrics = Metrics()
+        self.archive = Archive(self.kv, MAX_VALUE_BYTES, self.metrics)
+        self.role = Role(ROLE_KEY, ROLE_KEY, self.store.revision, 0, 1e9)
+        items = [
+            Item(f"i{n}", "/p", [], b"", f"g{n // 3}", 9.0)
+            for n in range(ITEM_COUNT)
+        ]
+        submission = Submission("sub", "h", "/", "m", 1, 1, 1, items, 0.0)
+        self.state = make_submission_state(submission, 0.0, 0.0, 9.0, 99.0)
+        self.registry = SubmissionRegistry()
+        self.committer = self.make_committer()
+
+    def make_committer(self) -> ResultCommitter:
+        """Return the committer of a holder that runs the submission."""
+        self.registry.submissions[self.state.submission.id] = self.state
+        return ResultCommitter(
+            self.kv,
+            self.archive,
+            self.registry,
+            trio.current_time,
+            self.metrics,
+            Random(self.rng.random()),
+        )
+
+    async def finish_items(self) -> None:
+        """Finish the items one by one, at random times."""
+        for name in self.state.items:
+            await trio.sleep(self.rng.uniform(0.0, 0.3))
+            result = SampleResult(name, True, name, [1], "")
+            self.state.finish_item(result, trio.current_time())
+            self.registry.notify_changed()
+
+    async def is_whole(self) -> bool:
+        """Return whether the stored results are those in memory, once each."""
+        self.faults.draw_delay_s = None
+        self.faults.lose_reply_every = 0
+        stored = await self.archive.load_results("sub")
+        if stored.is_err():
+            return False
+        names = [result.id for result in stored.unwrap()]
+        known = [result.id for result in self.state.committed]
+        in_order = not self.metrics.counts["results_out_of_place"]
+        complete = sorted(names) == sorted(self.state.items)
+        return complete and names == known and in_order
+
+
+async def run_overlapping_commits(seed: int, lose_replies: bool) -> bool:
+    """Commit and flush at the same time; return whether nothing is lost."""
+    run = CommitRun(seed)
+    run.faults.draw_delay_s = lambda: run.rng.expovariate(10.0)
+    run.faults.lose_reply_every = run.rng.choice([2, 3]) * lose_replies
+    with trio.move_on_after(COMMIT_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run.committer.run, run.role)
+            nursery.start_soon(run.finish_items)
+            for _ in range(6):
+                await trio.sleep(run.rng.uniform(0.0, 0.8))
+                nursery.start_soon(run.committer.flush, run.role)
+            while len(run.state.committed) < ITEM_COUNT:
+                await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+    return await run.is_whole()
+
+
+async def check_late_replies() -> bool:
+    """Replies that arrive in another order than the writes took effect."""
+    return await check_seeds(lose_replies=False)
+
+
+async def check_lost_replies() -> bool:
+    """Some replies are lost, and their commits are repeated."""
+    return await check_seeds(lose_replies=True)
+
+
+async def check_seeds(lose_replies: bool) -> bool:
+    """Return whether no seed loses or repeats a result."""
+    failed = [
+        seed
+        for seed in range(SEEDS_PER_CASE)
+        if not await run_overlapping_commits(seed, lose_replies)
+    ]
+    if failed:
+        print(f"commit seeds failed: {failed[:10]}, {len(failed)} in all")
+    return not failed
+
+
+async def check_stopped_commit() -> bool:
+    """A commit whose reply never arrived; the next holder goes on."""
+    run = CommitRun(1)
+    for name in list(run.state.items)[:5]:
+        run.state.finish_item(SampleResult(name, True, name, [1], ""), 0.0)
+    run.faults.lose_reply_every = 1
+    with trio.move_on_after(1.0):
+        await run.committer.flush(run.role)
+    run.faults.lose_reply_every = 0
+    first, run.state = (
+        run.state,
+        make_submission_state(run.state.submission, 0.0, 0.0, 9.0, 99.0),
+    )
+    stored = (await run.archive.load_results("sub")).unwrap()
+    run.state.record_committed(0, stored)
+    successor = run.make_committer()
+    for name in list(first.items)[5:]:
+        result = SampleResult(name, True, name, [1], "")
+        run.state.finish_item(result, BATCH_DELAY_S)
+    await successor.flush(run.role)
+    return len(stored) == 5 and await run.is_whole()
+
+
+async def check_repeated_results() -> bool:
+    """Results that are known already are refused, and change nothing."""
+    run = CommitRun(1)
+    results = [SampleResult(n, True, n, [1], "") for n in ("i0", "i1")]
+    first = run.state.record_committed(0, results)
+    again = run.state.record_committed(0, results)
+    ahead = run.state.record_committed(3, results)
+    repeated = run.state.record_committed(2, results)
+    known = [result.id for result in run.state.committed]
+    return first and not (again or ahead or repeated) and known == ["i0", "i1"]
+
+
+CASES: dict[str, Callable[[], Awaitable[bool]]] = {
+    "replies arrive late and out of order": check_late_replies,
+    "replies are lost": check_lost_replies,
+    "the next holder goes on after a commit without reply": (
+        check_stopped_commit
+    ),
+    "results that are known already are refused": check_repeated_results,
+}
+
+
+def run_case(name: str) -> bool:
+    """Run a case in virtual time."""
+    return run_virtual(CASES[name], 1, 60_000.0)
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -36,7 +36,6 @@
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
-from pistachiospar_standins.fakes.gateway_fleet import MAX_VALUE_BYTES
 from pistachiospar_standins.fakes.gateway_fleet import POOL
 from pistachiospar_standins.fakes.samplers import FakeResponse
 from result import Ok
@@ -150,7 +149,7 @@
     state.finish_item(SampleResult("item", True, "t", [3], "s"), 0.0)
     committer = ResultCommitter(
         kv,
-        Archive(kv, 1000),
+        Archive(kv, 1000, Metrics()),
         registry,
         trio.current_time,
         Metrics(),
@@ -174,9 +173,7 @@
         gateway = fleet.running["g0"].coordinator
         await gateway.hand_over()
         submission = msgspec.structs.replace(SUBMISSION, model="m0")
-        stored = await Archive(gateway.kv, MAX_VALUE_BYTES).store_submission(
-            submission
-        )
+        stored = await gateway.archive.store_submission(submission)
         assert isinstance(stored, Ok), stored
         items = (await gateway.kv.list_items(PREFIX_SUBMISSIONS)).unwrap()[0]
         event = KvEvent(items[0].key, items[0].value, items[0].revision)
--- a/features/support/submission_faults.py
+++ b/features/support/submission_faults.py
@@ -87,6 +87,16 @@
         running.kv.faults.lose_reply_every = 0
 
 
+async def delay_replies(fleet: GatewayFleet, rng: Random) -> None:
+    """Make requests to the store and its replies take random times."""
+    affected = list(fleet.running.values())
+    for running in affected:
+        running.kv.faults.draw_delay_s = lambda: rng.expovariate(10.0)
+    await trio.sleep(rng.uniform(2.0, 6.0))
+    for running in affected:
+        running.kv.faults.draw_delay_s = None
+
+
 async def compact_store(fleet: GatewayFleet, rng: Random) -> None:
     """Make the store drop its history of changes."""
     fleet.store.compact()
@@ -137,9 +147,12 @@
         if name not in fleet.running:
             fleet.start_gateway(name)
         fleet.running[name].kv.faults.down = False
+        fleet.running[name].kv.faults.draw_delay_s = None
+
 
+Fault = Callable[[GatewayFleet, Random], Awaitable[None]]
 
-FAULTS: list[Callable[[GatewayFleet, Random], Awaitable[None]]] = [
+FAULTS: list[Fault] = [
     kill_gateway,
     kill_gateway,
     kill_all_gateways,
@@ -155,3 +168,13 @@
     degrade_sampler,
     change_configuration,
 ]
+
+# A holder stops while commits are under way and replies come late.
+STOP_FAULTS: list[Fault] = [
+    stop_holder,
+    stop_holder,
+    delay_replies,
+    delay_replies,
+    lose_replies,
+    kill_gateway,
+]
--- a/features/support/submission_scenarios.py
+++ b/features/support/submission_scenarios.py
@@ -5,6 +5,7 @@
 The guarantees are checked against what callers and instances saw.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import field
 from random import Random
@@ -28,6 +29,7 @@
 from .submission_checks import ResultView
 from .submission_checks import SubmissionHistory
 from .submission_faults import clear_faults
+from .submission_faults import Fault
 from .submission_faults import FAULTS
 from .submission_faults import pick_gateway
 
@@ -60,8 +62,10 @@
     results: list[ResultView]
 
 
-def run_scenario(seed: int) -> ScenarioRun:
-    """Run the trainers, faults and checks of one seed."""
+def run_scenario(
+    seed: int, faults: Sequence[Fault] = tuple(FAULTS)
+) -> ScenarioRun:
+    """Run the trainers, the faults and the checks of one seed."""
     rng = Random(seed)
     run = ScenarioRun(seed)
     plan = GatewayPlan(
@@ -77,7 +81,7 @@
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
             async with trio.open_nursery() as callers:
-                callers.start_soon(inject_faults, fleet, rng, run)
+                callers.start_soon(inject_faults, fleet, faults, rng, run)
                 for model in plan.models:
                     callers.start_soon(run_trainer, fleet, model, rng, run)
             await clear_faults(fleet)
@@ -217,6 +221,7 @@
     earlier = dict(history.results)
     history.results.clear()
     position = 0
+    is_read = False
     for _ in range(60):
         request = HttpRequest(
             "GET",
@@ -237,7 +242,10 @@
             position += 1
         history.total = page.total
         if position == page.total or not page.results:
+            is_read = True
             break
+    if not is_read:
+        history.violations.append("can't be read at the end")
     for at, encoded in earlier.items():
         if history.results.get(at) != encoded:
             history.violations.append(
@@ -263,12 +271,15 @@
 
 
 async def inject_faults(
-    fleet: GatewayFleet, rng: Random, run: ScenarioRun
+    fleet: GatewayFleet,
+    faults: Sequence[Fault],
+    rng: Random,
+    run: ScenarioRun,
 ) -> None:
     """Inject one to six faults at random times."""
     async with trio.open_nursery() as nursery:
         for _ in range(rng.randint(1, 6)):
             await trio.sleep(rng.uniform(0.0, DURATION_S / 4))
-            fault = rng.choice(FAULTS)
+            fault = rng.choice(faults)
             run.faults.append(fault.__name__)
             nursery.start_soon(fault, fleet, rng)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -1,6 +1,7 @@
 """In-memory fake of the key-value port, with injected faults."""
 
 from collections.abc import AsyncGenerator
+from collections.abc import Callable
 from collections import Counter
 from dataclasses import dataclass
 
@@ -32,7 +33,8 @@
     `lose_replies` counts down writes that take effect but get no reply;
     `lose_reply_every` drops each n-th reply to a write. `silent_watch` keeps
     watches open without events. A poll during which `silent_poll` is set
-    receives no more changes and fails at the end of its wait.
+    receives no more changes and fails at the end of its wait. `draw_delay_s`
+    returns how much longer a request or the reply to a write takes.
     """
 
     down: bool = False
@@ -41,6 +43,7 @@
     lose_reply_every: int = 0
     silent_watch: bool = False
     silent_poll: bool = False
+    draw_delay_s: Callable[[], float] | None = None
 
 
 class FakeKeyValue(CommitBasedKeyValue):
@@ -100,6 +103,7 @@
         if fault is not None:
             return Err(fault)
         applied = self._store.transact(transaction, trio.current_time())
+        revision = self._store.revision
         lost = await self._lose_reply()
         if lost is not None:
             return Err(lost)
@@ -107,7 +111,7 @@
             return Err(
                 KvError(KvFault.NO_LEASE, "lease has expired or was revoked")
             )
-        return Ok(KvWriteResult(applied, self._store.revision))
+        return Ok(KvWriteResult(applied, revision))
 
     async def put_item(
         self, key: str, value: bytes, lease: int = 0
@@ -117,6 +121,7 @@
         if fault is not None:
             return Err(fault)
         written = self._store.write(key, value, lease, trio.current_time())
+        revision = self._store.revision
         lost = await self._lose_reply()
         if lost is not None:
             return Err(lost)
@@ -124,7 +129,7 @@
             return Err(
                 KvError(KvFault.UNKNOWN, "lease has expired or was revoked")
             )
-        return Ok(self._store.revision)
+        return Ok(revision)
 
     async def grant_lease(self, ttl_s: float) -> Result[int, KvError]:
         """Grant a lease; return its id."""
@@ -236,6 +241,8 @@
             await trio.sleep(0.05)
             return KvError(KvFault.NOT_SENT, "down")
         latency_s = self.faults.latency_s
+        if self.faults.draw_delay_s is not None:
+            latency_s += self.faults.draw_delay_s()
         await trio.sleep(min(latency_s, CALL_TIMEOUT_S))
         if latency_s >= CALL_TIMEOUT_S:
             return KvError(KvFault.UNKNOWN, "timeout")
@@ -244,6 +251,8 @@
 
     async def _lose_reply(self) -> KvError | None:
         """Return the fault of a reply that is lost after the write, if any."""
+        if self.faults.draw_delay_s is not None:
+            await trio.sleep(self.faults.draw_delay_s())
         self._writes += 1
         every = self.faults.lose_reply_every
         lost = bool(every) and self._writes % every == 0
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -116,16 +116,16 @@
             self.metrics,
             rng,
         )
-        self._archive = Archive(self.kv, identity.value_bytes)
+        self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
         self.reader = SubmissionReader(
-            self._archive, self.holders, self._find_submission, peer
+            self.archive, self.holders, self._find_submission, peer
         )
         self.handler = GatewayHandler(
             self.directory,
             self.forwarder,
             StreamForwarder(samplers, self.forwarder, self.health, rng),
-            self._archive,
+            self.archive,
             self.reader,
             clocks.read_wall_s,
             self.metrics,
@@ -234,7 +234,7 @@
         return PoolCoordinator(
             name,
             self.kv,
-            self._archive,
+            self.archive,
             self.directory,
             runner,
             versions,
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -30,6 +30,7 @@
     `store_age_s` is the time since the key-value service last responded,
     None before its first response. `watch_source` is the gateway through
     which changes arrive, empty when this one watches the service itself.
+    `damaged_submissions` lack results in the durable record.
     """
 
     name: str
@@ -38,6 +39,7 @@
     configuration: int
     store_age_s: float | None
     watch_source: str
+    damaged_submissions: list[str]
     named_versions: dict[str, int]
     holders: dict[str, str]
     roles: list[RoleDump]
@@ -61,6 +63,7 @@
         directory.table.version,
         None if last_success_at is None else now - last_success_at,
         gateway.watch_relay.source_name,
+        sorted(gateway.archive.damaged),
         dict(directory.named_versions),
         {p: record.gateway for p, record in gateway.holders.holders.items()},
         [
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -245,7 +245,7 @@
             call.submission, call.after, call.wait_s
         )
         if isinstance(found, Err):
-            problem = refuse_not_run("store-away", found.err_value.detail)
+            problem = _describe_failed_read(found.err_value)
             await self._refuse(exchange, caller, problem, call.submission)
         elif found.ok_value is None:
             await self._refuse(
@@ -333,6 +333,13 @@
         return choose_retry_after_s(expected_s, outage_s, self._rng)
 
 
+def _describe_failed_read(error: KvError) -> Problem:
+    """Return the problem for results that can't be read."""
+    if error.fault is KvFault.DAMAGED:
+        return Problem(500, "submission-damaged", error.detail)
+    return refuse_not_run("store-away", error.detail)
+
+
 _UNKNOWN_SUBMISSION = refuse_input(
     "unknown-submission", "no submission has this id", 404
 )
--- a/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
@@ -202,7 +202,7 @@
         can succeed only once.
         """
         match reply.fault:
-            case None | KvFault.NO_LEASE | KvFault.COMPACTED:
+            case None | KvFault.NO_LEASE | KvFault.COMPACTED | KvFault.DAMAGED:
                 return False
             case KvFault.NOT_SENT:
                 return True
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -21,13 +21,15 @@
 
     NOT_SENT and NO_LEASE (the lease has expired) certainly had no effect;
     UNKNOWN may have had one. COMPACTED is the service's response to a watch
-    whose changes it no longer has.
+    whose changes it no longer has. DAMAGED is a read of records of which some
+    are missing.
     """
 
     NOT_SENT = "not-sent"
     NO_LEASE = "no-lease"
     COMPACTED = "compacted"
     UNKNOWN = "unknown"
+    DAMAGED = "damaged"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -12,6 +12,8 @@
 from ..ports.kv import KvFault
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
 from .keys import make_end_key
 from .keys import make_part_key
 from .keys import make_results_prefix
@@ -23,12 +25,19 @@
 
 
 class Archive:
-    """Read and write submission records in the key-value service."""
+    """Read and write submission records in the key-value service.
 
-    def __init__(self, kv: KeyValue, value_bytes: int) -> None:
+    `damaged` names the submissions of which results are missing.
+    """
+
+    def __init__(
+        self, kv: KeyValue, value_bytes: int, metrics: Metrics
+    ) -> None:
         """Initialize; `value_bytes` is the largest value the service takes."""
         self.kv = kv
         self.value_bytes = value_bytes
+        self.damaged: set[str] = set()
+        self._metrics = metrics
         # Leaves room for the overhead of encoding a value in a call.
         self._part_bytes = value_bytes * 2 // 3
 
@@ -104,7 +113,7 @@
     ) -> Result[list[SampleResult], KvError]:
         """Return all results of a submission in order.
 
-        A gap in the positions is an UNKNOWN fault.
+        A gap in the positions is a DAMAGED fault.
         """
         listing = await self.kv.list_items(make_results_prefix(submission))
         if isinstance(listing, Err):
@@ -113,10 +122,19 @@
         for item in sorted(listing.ok_value[0], key=lambda item: item.key):
             if parse_position(item.key) != len(results):
                 detail = f"results are missing before key {item.key}"
-                return Err(KvError(KvFault.UNKNOWN, detail))
+                self._report_damage(submission, detail)
+                return Err(KvError(KvFault.DAMAGED, detail))
             results.extend(decode_results(item.value))
         return Ok(results)
 
+    def _report_damage(self, submission: str, detail: str) -> None:
+        """Log and count a damaged submission, once."""
+        if submission in self.damaged:
+            return
+        self.damaged.add(submission)
+        self._metrics.count("submissions_damaged")
+        log_event("submission_damaged", submission=submission, detail=detail)
+
 
 def decode_head(value: bytes) -> SubmissionHead:
     return msgspec.msgpack.decode(value, type=SubmissionHead)
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -25,7 +25,11 @@
 
 
 class ResultCommitter:
-    """Write finished results; readers see them only once committed."""
+    """Write finished results; readers see them only once committed.
+
+    One batch is written at a time: the next one's positions follow from what
+    is stored.
+    """
 
     def __init__(
         self,
@@ -42,6 +46,7 @@
         self._read_now = read_now
         self._metrics = metrics
         self._rng = rng
+        self._writing = trio.Lock()
 
     async def run(self, role: Role) -> None:
         """Commit batches as they become due, until cancelled."""
@@ -54,7 +59,7 @@
                     await changed.wait()
                 continue
             await trio.sleep(const.COALESCE_DELAY_S)
-            await self._commit_batch(role, choose_batch(states))
+            await self._commit_next_batch(role)
 
     async def flush(self, role: Role) -> None:
         """Commit what is finished, before the role is released.
@@ -62,18 +67,24 @@
         Repeat until nothing is left: a batch may be too large for all, and
         the role may be lost and acquired again meanwhile.
         """
-        while batch := choose_batch(list(self._registry.submissions.values())):
-            await self._commit_batch(role, batch)
+        while await self._commit_next_batch(role):
+            pass
+
+    async def _commit_next_batch(self, role: Role) -> bool:
+        """Commit what is finished; return whether there was anything."""
+        async with self._writing:
+            batch = choose_batch(list(self._registry.submissions.values()))
+            if batch:
+                await self._commit_batch(role, batch)
+        return bool(batch)
 
     async def _commit_batch(self, role: Role, batch: Batch) -> None:
         """Commit one batch, retrying until its outcome is known."""
-        if not batch:
-            return
         fence = role.fence
         checks = [KvCheck(role.key, fence)]
         puts: list[KvPut] = []
-        for state, results in batch:
-            position = len(state.committed)
+        positions = [len(state.committed) for state, _ in batch]
+        for position, (state, results) in zip(positions, batch, strict=True):
             key = make_results_key(state.submission.id, position)
             checks.append(KvCheck(key, 0))
             puts.append(KvPut(key, encode_results(results)))
@@ -90,8 +101,10 @@
         self._metrics.count("commits")
         self._metrics.observe("commit", self._read_now() - started_at)
         if written.ok_value.won:
-            for state, results in batch:
-                self._record_committed(state, results)
+            for position, (state, results) in zip(
+                positions, batch, strict=True
+            ):
+                self._record_committed(state, position, results)
         else:
             await self._read_back_batch(batch)
 
@@ -104,21 +117,35 @@
             stored = await self._archive.load_results(state.submission.id)
             if isinstance(stored, Err):
                 continue
-            results = stored.ok_value[len(state.committed) :]
+            position = len(state.committed)
+            results = stored.ok_value[position:]
             if results:
-                self._record_committed(state, results)
+                self._record_committed(state, position, results)
         log_event("commit_settled", submissions=len(batch))
         await trio.sleep(const.COMMIT_RETRY_DELAY_S)
 
     def _record_committed(
-        self, state: SubmissionState, results: list[SampleResult]
+        self,
+        state: SubmissionState,
+        position: int,
+        results: list[SampleResult],
     ) -> None:
         """Move results from the uncommitted to the committed ones."""
+        known = len(state.committed)
+        if not state.record_committed(position, results):
+            self._metrics.count("results_out_of_place")
+            log_event(
+                "results_out_of_place",
+                submission=state.submission.id,
+                position=position,
+                known=known,
+                results=len(results),
+            )
+            return
         ids = {result.id for result in results}
         state.uncommitted = [r for r in state.uncommitted if r.id not in ids]
         state.uncommitted_since = self._read_now()
         state.has_complete_group = False
-        state.record_committed(results)
         self._registry.notify_changed()
 
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -13,6 +13,7 @@
 from ..pool_holders.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
+from ..ports.kv import KvFault
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..weight_versions.coordinator import VersionCoordinator
@@ -183,8 +184,9 @@
         if event.revision < role.fence:
             results = await self._archive.load_results(name)
             if isinstance(results, Err):
-                return False
-            state.record_committed(results.ok_value)
+                # A damaged record stays so; it must not hold up the others.
+                return results.err_value.fault is KvFault.DAMAGED
+            state.record_committed(0, results.ok_value)
         state.ended = ended or name in self._seen_ends
         self._restore_progress(state)
         self.registry.submissions[name] = state
--- a/packages/pistachiospar/src/pistachiospar/submissions/registry.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/registry.py
@@ -94,13 +94,25 @@
         if all(other.phase in done for other in group):
             self.has_complete_group = True
 
-    def record_committed(self, results: list[SampleResult]) -> None:
-        """Append durable results, in the order of their positions."""
+    def record_committed(
+        self, position: int, results: list[SampleResult]
+    ) -> bool:
+        """Append the durable results that are stored from a position on.
+
+        Returns False, and changes nothing, unless they follow the last known
+        one and are all new: a result has one position.
+        """
+        known = {result.id for result in self.committed}
+        if position != len(self.committed) or any(
+            result.id in known for result in results
+        ):
+            return False
         for result in results:
             self.items[result.id].phase = ItemPhase.COMMITTED
         self.committed.extend(results)
         self.results_changed.set()
         self.results_changed = trio.Event()
+        return True
 
 
 def make_submission_state(
