Send nothing new to an instance that says it is leaving

Cause: the users' new rule DRAIN: once a sampler says Server-Leaving: 1 in any answer, nothing that a consumer sends drainMs later may reach it from that machine. The header was read nowhere; only the list said who leaves. Change: platform/samplers.py reads the header of every response (call, stream head, errors, order, report; not of a 421, which is another instance's) and reports the instance; the directory keeps it by lifetime (start time and address) and leaves it out of the instances for new work, so that calls, retries, hedges, resumed streams, items, scoring calls and load orders all avoid it. What runs there goes on. The next lifetime under the same name is used again; the same one stays out when its entry returns. Log event and count instance(s)_announced_leaving, state dump field announced_leaving.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -15,6 +15,14 @@
       | a response without length, then a reset    |
       | bytes that are not HTTP                    |
       | a 421, as another instance has its address |
+      | a 200 that says it is leaving |
+      | a 500 that says it is leaving |
+      | a refusal that says it is leaving |
+      | a stream that says it is leaving |
+      | a 421 of another one that is leaving |
+      | a 200 that says it is not leaving |
+      | an order's response that says it is leaving |
+      | a report that says it is leaving |
       | a 503 that says the request did not run    |
       | a 500 response                             |
       | a stream                                   |
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -7,6 +7,7 @@
 
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.platform.samplers import PlatformSamplerClient
+from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import SamplerCall
 from pistachiospar.ports.upstream import UpstreamError
 from pistachiospar.ports.upstream import UpstreamNotSentError
@@ -61,8 +62,13 @@
     is_closed: bool = False
     calls: int = 1
     is_stream: bool = False
+    operation: str = "call"
 
 
+LEAVING = "Server-Leaving: 1\r\n"
+LEAVING_STREAM = make_stream(b"id: 1\ndata: a\n\n").replace(
+    b"\r\n", b"\r\n" + LEAVING.encode(), 1
+)
 CASES: dict[str, ResponseCase] = {
     "a complete response": ResponseCase(
         (make_response("c1", b"ok"),), ["200 ok"]
@@ -123,6 +129,37 @@
         ["4: 1 a", "may have run"],
         is_stream=True,
     ),
+    "a 200 that says it is leaving": ResponseCase(
+        (make_response("c1", b"ok", extra=LEAVING),), ["leaving", "200 ok"]
+    ),
+    "a 500 that says it is leaving": ResponseCase(
+        (make_response("c1", b"no", "500 Error", LEAVING),),
+        ["leaving", "500 no"],
+    ),
+    "a refusal that says it is leaving": ResponseCase(
+        (make_response("c1", b"", "503 No", "Not-Executed: 1\r\n" + LEAVING),),
+        ["leaving", "not run"],
+    ),
+    "a stream that says it is leaving": ResponseCase(
+        (LEAVING_STREAM,), ["leaving", "4: 1 a", "end"], is_stream=True
+    ),
+    "a 421 of another one that is leaving": ResponseCase(
+        (make_response("c1", b"", "421 Misdirected", LEAVING),), ["not run"]
+    ),
+    "a 200 that says it is not leaving": ResponseCase(
+        (make_response("c1", b"ok", extra="Server-Leaving: 0\r\n"),),
+        ["200 ok"],
+    ),
+    "an order's response that says it is leaving": ResponseCase(
+        (make_response("", b"{}", "202 Accepted", LEAVING),),
+        ["leaving", "accepted"],
+        operation="order",
+    ),
+    "a report that says it is leaving": ResponseCase(
+        (make_response("", b"{}", extra=LEAVING),),
+        ["leaving", "idle"],
+        operation="report",
+    ),
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
     ),
@@ -183,9 +220,14 @@
     """Make the calls of a case; return a text for each result."""
     samplers = PlatformSamplerClient()
     instance = ListedInstance("i-1", "app", address, "zone", 8, False)
-    read_response: Callable[..., Awaitable[list[str]]]
-    read_response = _read_stream if case.is_stream else _read_complete
+    readers: dict[str, Callable[..., Awaitable[list[str]]]] = {
+        "call": _read_stream if case.is_stream else _read_complete,
+        "order": _send_order,
+        "report": _fetch_report,
+    }
+    read_response = readers[case.operation]
     found: list[str] = []
+    samplers.report_leaving = lambda instance: found.append("leaving")
     for number in range(1, case.calls + 1):
         call = SamplerCall(
             f"c{number}",
@@ -196,7 +238,8 @@
             0.5,
         )
         try:
-            found += await read_response(samplers, instance, call)
+            results = await read_response(samplers, instance, call)
+            found.extend(results)
         except UpstreamNotSentError:
             found.append("not sent")
         except UpstreamError:
@@ -205,6 +248,26 @@
     return found
 
 
+async def _send_order(
+    samplers: PlatformSamplerClient,
+    instance: ListedInstance,
+    call: SamplerCall,
+) -> list[str]:
+    """Send a load order."""
+    order = LoadOrder("m", 2, "g", 1, 0)
+    return [(await samplers.order_load(instance, order)).value]
+
+
+async def _fetch_report(
+    samplers: PlatformSamplerClient,
+    instance: ListedInstance,
+    call: SamplerCall,
+) -> list[str]:
+    """Fetch a report."""
+    report = (await samplers.fetch_report(instance)).unwrap()
+    return ["busy" if report.busy else "idle"]
+
+
 async def _read_complete(
     samplers: PlatformSamplerClient,
     instance: ListedInstance,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -138,6 +138,8 @@
         self.isolated: set[str] = set()
         self.suspended: set[str] = set()
         self.addresses: dict[str, str] = {}
+        self.listed_states: dict[str, str] = {}
+        self.started_ms: dict[str, int] = {}
         self.configuration_version = 0
         self._nursery: trio.Nursery | None = None
         self._incarnations = 0
@@ -231,7 +233,7 @@
         if upstream == POOL:
             sampler.versions = dict.fromkeys(self.plan.models, 1)
         self.cluster.samplers[name] = sampler
-        self._write_instance(name, upstream)
+        self.write_instance(name, upstream)
 
     def remove_sampler(self, name: str) -> None:
         """Stop an instance and remove it from the list."""
@@ -290,9 +292,9 @@
                 sampler.apply_due_orders(trio.current_time())
                 key = const.PREFIX_INSTANCES + name
                 if key in self.store.items and sampler.versions:
-                    self._write_instance(name, POOL)
+                    self.write_instance(name, POOL)
 
-    def _write_instance(self, name: str, upstream: str) -> None:
+    def write_instance(self, name: str, upstream: str) -> None:
         """Write an instance's entry in the list if it changed."""
         sampler = self.cluster.samplers[name]
         versions = sampler.versions.items()
@@ -302,7 +304,8 @@
                 "address": self.addresses.get(name, "127.0.0.1:1"),
                 "zone": "zone",
                 "slots": sampler.slots,
-                "state": "ready",
+                "state": self.listed_states.get(name, "ready"),
+                "born": self.started_ms.get(name, 1),
                 "models": [{"name": m, "version": v} for m, v in versions],
             }
         )
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from dataclasses import field
@@ -41,7 +42,8 @@
     `slow_factor` multiplies the durations of calls. `truncated_share` is drawn
     for each event and plain response, `error_share` for each call, and
     `lost_order_share` for each load order: its reply is lost, and the order is
-    applied later.
+    applied later. One that is `leaving` says so in all responses and serves
+    on.
     """
 
     down: bool = False
@@ -49,6 +51,7 @@
     truncated_share: float = 0.0
     lost_order_share: float = 0.0
     error_share: float = 0.0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,6 +237,9 @@
         self._cluster = cluster
         self._gateway = gateway
         self._connected: set[str] = set()
+        self.report_leaving: Callable[[ListedInstance], None] = (
+            lambda instance: None
+        )
 
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether this gateway called the instance before."""
@@ -253,6 +259,8 @@
             await trio.sleep(0.05)
             raise UpstreamNotSentError("down")
         await trio.sleep(0.001)
+        if sampler.faults.leaving:
+            self.report_leaving(instance)
         if sampler.running >= sampler.slots:
             yield FakeResponse(503, not_run=True)
             return
@@ -271,6 +279,8 @@
         await trio.sleep(0.001)
         if sampler.faults.down:
             return LoadOrderOutcome.REFUSED
+        if sampler.faults.leaving:
+            self.report_leaving(instance)
         now = trio.current_time()
         fence_valid = order.fence >= sampler.fence
         self._cluster.orders.append(
@@ -297,6 +307,8 @@
         await trio.sleep(0.001)
         if sampler.faults.down:
             return Err("down")
+        if sampler.faults.leaving:
+            self.report_leaving(instance)
         return Ok(
             SamplerReport(
                 sampler.loading is not None,
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -13,6 +13,7 @@
 from ..routing.models import RouteTable
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .announcements import LeavingAnnouncements
 from .mirror import PrefixMirror
 from .models import DirectoryKeys
 
@@ -45,6 +46,7 @@
         self.instances: dict[str, ListedInstance] = {}
         self.named_versions: dict[str, int] = {}
         self.retiring: dict[str, int] = {}
+        self._announcements = LeavingAnnouncements()
         self._grace_ends_at: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.configuration_mirror = PrefixMirror(
@@ -105,9 +107,26 @@
         return [
             instance
             for instance in self.instances.values()
-            if instance.upstream == upstream and not instance.leaving
+            if instance.upstream == upstream and not self.is_leaving(instance)
         ]
 
+    def is_leaving(self, instance: ListedInstance) -> bool:
+        """Return whether an instance leaves, by the list or its own word."""
+        return instance.leaving or self._announcements.is_leaving(instance)
+
+    def record_leaving(self, instance: ListedInstance) -> None:
+        """Record that an instance announced in a response that it leaves."""
+        if not self._announcements.record(instance):
+            return
+        self._metrics.count("instances_announced_leaving")
+        log_event(
+            "instance_announced_leaving",
+            instance=instance.name,
+            upstream=instance.upstream,
+            started_ms=instance.started_ms,
+        )
+        self._notify_listeners()
+
     def _apply_operator_event(self, event: KvEvent) -> None:
         """Apply what an operator or trainer wrote; ignores deletions."""
         if event.value is None:
@@ -187,7 +206,9 @@
             if now < grace_ends_at:
                 self._grace_ends_at[name] = grace_ends_at
                 return
-        if self.instances.pop(name, None) is not None:
+        removed = self.instances.pop(name, None)
+        if removed is not None:
+            self._announcements.handle_removal(removed)
             log_event("instance_gone", instance=name)
         self._notify_listeners()
 
@@ -195,7 +216,9 @@
         """Remove the instances that did not return within their grace."""
         for name in [n for n, at in self._grace_ends_at.items() if now >= at]:
             del self._grace_ends_at[name]
-            self.instances.pop(name, None)
+            removed = self.instances.pop(name, None)
+            if removed is not None:
+                self._announcements.handle_removal(removed)
             log_event("instance_gone", instance=name, lapsed=True)
 
     def _notify_listeners(self) -> None:
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -74,6 +74,7 @@
             rng,
         )
         self.directory = Directory(self.kv, direct_kv, keys, self.metrics, rng)
+        samplers.report_leaving = self.directory.record_leaving
         role_leases = RoleLeaseManager(
             self.kv, record, identity.lease_s, clocks.read_boot_s
         )
@@ -220,6 +221,7 @@
         versions = VersionCoordinator(
             self.identity.name,
             self._samplers,
+            self.directory.is_leaving,
             self._clocks.read_boot_s,
             self.metrics,
         )
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -6,11 +6,16 @@
 
 
 class InstanceDump(msgspec.Struct):
-    """An instance as seen by this gateway."""
+    """An instance as seen by this gateway.
+
+    `leaving` is what the list says, `announced_leaving` also counts what the
+    instance itself said.
+    """
 
     name: str
     upstream: str
     leaving: bool
+    announced_leaving: bool
     in_flight: int
     failures: int
 
@@ -80,6 +85,7 @@
                 name,
                 instance.upstream,
                 instance.leaving,
+                directory.is_leaving(instance),
                 gateway.health.get_state(name).in_flight,
                 gateway.health.get_state(name).failures,
             )
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -1,6 +1,7 @@
 """Calls to the platform's samplers over HTTP."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from typing import Final
 
@@ -55,7 +56,8 @@
     const.HEADER_LAST_EVENT_ID.lower(),
     const.HEADER_REQUEST_PRIORITY.lower(),
 }
-_NOT_RUN_STATUSES: Final = frozenset((421,))
+_WRONG_INSTANCE: Final = 421
+_NOT_RUN_STATUSES: Final = frozenset((_WRONG_INSTANCE,))
 _ORDER_OUTCOMES: Final = {
     202: LoadOrderOutcome.ACCEPTED,
     200: LoadOrderOutcome.HOLDS,
@@ -135,8 +137,11 @@
     """Client of all samplers, over persistent connections."""
 
     def __init__(self) -> None:
-        """Set up without connections."""
+        """Set up without connections or a listener."""
         self._pools: dict[str, HttpPool] = {}
+        self.report_leaving: Callable[[ListedInstance], None] = (
+            lambda instance: None
+        )
 
     @asynccontextmanager
     async def call(
@@ -159,6 +164,7 @@
                     raise UpstreamError(
                         f"received the response to request {response_id}"
                     )
+                self._read_leaving(instance, response.status, response.headers)
                 yield PlatformResponse(response)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
@@ -191,6 +197,7 @@
             return LoadOrderOutcome.REFUSED
         except (HttpError, trio.TooSlowError):
             return LoadOrderOutcome.UNKNOWN
+        self._read_leaving(instance, response.status, response.headers)
         return _ORDER_OUTCOMES.get(response.status, LoadOrderOutcome.REFUSED)
 
     async def fetch_report(
@@ -202,6 +209,7 @@
         try:
             with trio.fail_after(REPORT_TIMEOUT_S):
                 response = await pool.fetch("GET", const.PATH_REPORT, headers)
+            self._read_leaving(instance, response.status, response.headers)
             if response.status != 200:
                 return Err(f"status {response.status}")
             message = msgspec.json.decode(response.body, type=ReportMessage)
@@ -231,6 +239,20 @@
         for name in [name for name in self._pools if name not in names]:
             self._pools.pop(name).close()
 
+    def _read_leaving(
+        self,
+        instance: ListedInstance,
+        status: int,
+        headers: dict[str, str],
+    ) -> None:
+        """Report an instance whose response says that it is leaving.
+
+        A 421 is the response of another instance at the same address.
+        """
+        leaving = headers.get(const.HEADER_SERVER_LEAVING, "").strip()
+        if leaving == const.LEAVING and status != _WRONG_INSTANCE:
+            self.report_leaving(instance)
+
     def _find_pool(self, instance: ListedInstance) -> HttpPool:
         """Return an instance's connections, new ones for a new address."""
         pool = self._pools.get(instance.name)
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -1,6 +1,7 @@
 """Port of upstream instances that are called without a sidecar."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from dataclasses import field
@@ -117,7 +118,13 @@
 
 
 class SamplerClient(Protocol):
-    """Client of all upstream instances."""
+    """Client of all upstream instances.
+
+    `report_leaving` is called with each instance that announces in a
+    response to any call, order or report that it is leaving.
+    """
+
+    report_leaving: Callable[[ListedInstance], None]
 
     def call(
         self, instance: ListedInstance, call: SamplerCall
--- a/packages/pistachiospar/src/pistachiospar/weight_versions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/weight_versions/coordinator.py
@@ -32,9 +32,11 @@
         self,
         gateway: str,
         samplers: SamplerClient,
+        is_leaving: Callable[[ListedInstance], bool],
         read_boot_s: Callable[[], float],
         metrics: Metrics,
     ) -> None:
+        self._is_leaving = is_leaving
         self._gateway = gateway
         self._samplers = samplers
         self._read_boot_s = read_boot_s
@@ -139,7 +141,9 @@
             role.fence,
             self._accepted_orders[instance.name],
         )
-        if not role.is_valid(self._read_boot_s()):
+        if not role.is_valid(self._read_boot_s()) or self._is_leaving(
+            instance
+        ):
             return
         outcome = await self._samplers.order_load(instance, order)
         self._metrics.count(f"orders_{outcome.value}")
