--- a/features/platform.feature
+++ b/features/platform.feature
@@ -59,5 +59,8 @@
       | a request to end                      |
       | another path                          |
       | settings                              |
+      | settings in JSON                      |
+      | settings in JSON without a node       |
+      | settings in a YAML mapping with braces|
       | settings without a node               |
       | settings that are not YAML            |
--- a/features/support/platform_decoding.py
+++ b/features/support/platform_decoding.py
@@ -80,6 +80,10 @@
     "node: n\nzone: z\nip: 10.0.0.1\nfuture: [1]\n"
     "internalPorts: [7380, 7395]\nplatform: {address: '10.9.0.1:80'}\n"
 )
+JSON_SETTINGS = (
+    '{"node": "n", "zone": "z", "ip": "10.0.0.1", "internalPorts": [7380, 7395], '
+    '"platform": {"address": "10.9.0.1:80"}}'
+)
 ITEM = (
     b'{"items":[{"id":"a","path":"/p/a","body":"aGk=",'
     b'"headers":{"Token-Counts":"10,400","Length-Hint":"120"}}]}'
@@ -145,6 +149,21 @@
         "None",
     ),
     "settings": (lambda: decode_settings(VALID_SETTINGS), "n 10.0.0.1:7380"),
+    "settings in JSON": (
+        lambda: decode_settings(JSON_SETTINGS),
+        "n 10.0.0.1:7380",
+    ),
+    "settings in JSON without a node": (
+        lambda: decode_settings('{"zone": "z"}'),
+        "refused: Object missing required field `node`",
+    ),
+    "settings in a YAML mapping with braces": (
+        lambda: decode_settings(
+            "{node: n, zone: z, ip: 10.0.0.1, internalPorts: [7380, 7395], "
+            "platform: {address: '10.9.0.1:80'}}"
+        ),
+        "n 10.0.0.1:7380",
+    ),
     "settings without a node": (
         lambda: decode_settings("zone: z\n"),
         "refused: Object missing required field `node`",
--- a/packages/pistachiospar/src/pistachiospar/cli.py
+++ b/packages/pistachiospar/src/pistachiospar/cli.py
@@ -72,6 +72,13 @@
         action="store_true",
         help="validate the settings and exit",
     )
+    gateway.add_argument(
+        "--listen-descriptor",
+        type=int,
+        metavar="N",
+        help="serve callers on this socket, which listens already, instead "
+        "of the address in the settings",
+    )
     text = "occupy an instance without work or stored data until stopped"
     roles.add_parser("standby", help=text, description=text)
     return parser
@@ -97,7 +104,11 @@
 
             file = options.settings or find_settings_file()
             gateway = read_gateway(file)
-            return _run_role(gateway, options.check, _run_gateway)
+            return _run_role(
+                gateway,
+                options.check,
+                lambda found: _run_gateway(found, options.listen_descriptor),
+            )
     from .standby.process import wait_for_stop
 
     wait_for_stop()
@@ -151,7 +162,9 @@
     trio.run(serve)
 
 
-def _run_gateway(settings: "GatewaySettings") -> None:
+def _run_gateway(
+    settings: "GatewaySettings", listen_descriptor: int | None
+) -> None:
     """Run a gateway until SIGTERM or SIGINT."""
     import trio
 
@@ -162,7 +175,7 @@
     open_log(STDOUT, settings.name)
 
     async def serve() -> None:
-        await GatewayProcess(settings).run()
+        await GatewayProcess(settings, listen_descriptor).run()
 
     trio.run(serve)
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -33,4 +33,6 @@
 STORE_RETRY_DELAY_S: Final = 0.15
 # Health, state and metrics of each instance; also set in deploy/system.toml.
 ADMIN_PORT: Final = 9464
+# Loading the metrics exporter takes as long as the rest of a start.
+ADMIN_START_DELAY_S: Final = 2.0
 INCARNATION_BYTES: Final = 8
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -22,6 +22,7 @@
 from ..pool_holders.clock import read_boot_time
 from ..process.const import DRAIN_POLL_INTERVAL_S
 from ..process.listening import serve_http
+from ..process.listening import serve_open_socket
 from ..process.listening import wait_for_stop
 from ..telemetry.logs import log_event
 from .coordinator import GatewayCoordinator
@@ -37,9 +38,17 @@
 class GatewayProcess:
     """One gateway process with its servers for callers, peers and admins."""
 
-    def __init__(self, settings: GatewaySettings) -> None:
-        """Connect the parts; nothing listens before `run`."""
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        listen_descriptor: int | None = None,
+    ) -> None:
+        """Connect the parts; nothing is served before `run`.
+
+        `listen_descriptor` is a socket that listens for callers already.
+        """
         self._settings = settings
+        self._listen_descriptor = listen_descriptor
         direct_kv = PlatformKeyValue(settings.store)
         self.coordinator = GatewayCoordinator(
             GatewayIdentity(
@@ -81,9 +90,9 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
-        gc.collect()
         gc.freeze()
         gc.set_threshold(const.GC_THRESHOLD)
+        gc.enable()
         settings = self._settings
         async with trio.open_nursery() as nursery:
             if settings.ready is not None:
@@ -92,7 +101,11 @@
                 )
             await nursery.start(self.coordinator.run)
             await nursery.start(serve_http, self._peer_server, settings.peer)
-            if settings.listen is not None:
+            if self._listen_descriptor is not None:
+                nursery.start_soon(
+                    serve_open_socket, self._server, self._listen_descriptor
+                )
+            elif settings.listen is not None:
                 await nursery.start(serve_http, self._server, settings.listen)
             nursery.start_soon(self._serve_admin)
             nursery.start_soon(watch_settings, settings)
@@ -102,7 +115,8 @@
             nursery.cancel_scope.cancel()
 
     async def _serve_admin(self) -> None:
-        """Load and serve the admin port while callers are served already."""
+        """Load and serve the admin port, once callers are served."""
+        await trio.sleep(const.ADMIN_START_DELAY_S)
         handler = await trio.to_thread.run_sync(
             self._load_admin, abandon_on_cancel=True
         )
--- a/packages/pistachiospar/src/pistachiospar/platform/settings.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -97,12 +97,26 @@
     """Read a settings file; the Err names the file and the cause."""
     try:
         with open(file, "rb") as stream:
-            message = msgspec.yaml.decode(stream.read(), type=SettingsMessage)
+            message = _decode_settings(stream.read())
         return Ok(_make_settings(message))
     except (OSError, ValueError, msgspec.MsgspecError) as error:
         return Err(f"{file}: {error}")
 
 
+def _decode_settings(encoded: bytes) -> SettingsMessage:
+    """Decode JSON, or else YAML; raises MsgspecError.
+
+    JSON is YAML too, but a start with it doesn't load the YAML parser.
+    """
+    if encoded.lstrip().startswith(b"{"):
+        try:
+            return msgspec.json.decode(encoded, type=SettingsMessage)
+        except msgspec.DecodeError:
+            # A YAML mapping may begin with a brace, too.
+            pass
+    return msgspec.yaml.decode(encoded, type=SettingsMessage)
+
+
 def _make_settings(message: SettingsMessage) -> GatewaySettings:
     """Convert the settings; raises ValueError for a bad address."""
     listen = message.listen
--- a/packages/pistachiospar/src/pistachiospar/process/listening.py
+++ b/packages/pistachiospar/src/pistachiospar/process/listening.py
@@ -1,6 +1,7 @@
 """Listening sockets and stop signals."""
 
 import signal
+import socket
 
 import trio
 
@@ -23,6 +24,14 @@
     await trio.serve_listeners(server.handle_connection, listeners)
 
 
+async def serve_open_socket(server: HttpServer, descriptor: int) -> None:
+    """Serve HTTP on a socket that listens already, until cancelled."""
+    inherited = socket.socket(fileno=descriptor)
+    inherited.setblocking(False)
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(inherited))
+    await trio.serve_listeners(server.handle_connection, [listener])
+
+
 async def wait_for_stop() -> None:
     """Return on SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
