--- a/features/support/platform_decoding.py
+++ b/features/support/platform_decoding.py
@@ -81,7 +81,8 @@
     "internalPorts: [7380, 7395]\nplatform: {address: '10.9.0.1:80'}\n"
 )
 JSON_SETTINGS = (
-    '{"node": "n", "zone": "z", "ip": "10.0.0.1", "internalPorts": [7380, 7395], '
+    '{"node": "n", "zone": "z", "ip": "10.0.0.1", '
+    '"internalPorts": [7380, 7395], '
     '"platform": {"address": "10.9.0.1:80"}}'
 )
 ITEM = (
