Write a checkpoint in as many parts as it needs

The checkpoint of 240 items took 400 to 690 KB compressed, the limit of one value is 699 KB; a larger one was left out without a word, also by the flush of a stopping holder, which took it for written. Change: a checkpoint is split into values of at most two thirds of a value before compression, all in one transaction; parts that a larger one left are emptied; an earlier build's single value is read. What still does not fit is logged and counted.

--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -47,3 +47,6 @@
       | a checkpoint of too old weights is ignored |
       | results are committed under the fence      |
       | new work needs a valid lease               |
+      | a checkpoint larger than one value is stored whole |
+      | a smaller checkpoint leaves nothing of a larger one |
+      | a checkpoint of an earlier build is read |
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from random import Random
 from typing import Any
+import zlib
 
 import msgspec
 from pistachiospar.adapters.http.client import Address
@@ -20,6 +21,7 @@
 from pistachiospar.routing.models import CallKind
 from pistachiospar.routing.models import Route
 from pistachiospar.submissions.archive import Archive
+from pistachiospar.submissions.checkpoints import CheckpointStore
 from pistachiospar.submissions.checkpoints import Progress
 from pistachiospar.submissions.checkpoints import restore_progress
 from pistachiospar.submissions.commits import choose_batch
@@ -31,17 +33,22 @@
 from pistachiospar.submissions.registry import ItemState
 from pistachiospar.submissions.registry import make_submission_state
 from pistachiospar.submissions.registry import SubmissionRegistry
+from pistachiospar.submissions.registry import SubmissionState
 from pistachiospar.submissions.runner import ItemRunner
 from pistachiospar.telemetry.metrics import Metrics
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
 from pistachiospar_standins.fakes.gateway_fleet import POOL
+from pistachiospar_standins.fakes.kv import FakeKeyValue
+from pistachiospar_standins.fakes.kv import KvFaultSet
 from pistachiospar_standins.fakes.samplers import FakeResponse
+from pistachiospar_standins.kv.store import Store
 from result import Ok
 import trio
 
 MIN_VERSION = 3
+PART_BYTES = 20_000
 ROUTE = Route("r", "h", "/", CallKind.ROLLOUT, (), 9.0, 1.0, 1, 3)
 INSTANCE = ListedInstance("i-1", "u", Address("127.0.0.1", 1), "z", 4, False)
 ITEM = Item("item", "/p", [], b"", "g", 9.0)
@@ -165,6 +172,78 @@
     )
 
 
+def make_progress(count: int, events: int) -> SubmissionState:
+    """Return a submission whose items have events that don't compress."""
+    rng = Random(count)
+    items = [
+        msgspec.structs.replace(ITEM, id=f"i{number}")
+        for number in range(count)
+    ]
+    submission = msgspec.structs.replace(SUBMISSION, items=items)
+    state = make_submission_state(submission, 0.0, 0.0, 9.0, 99.0)
+    for item in state.items.values():
+        item.events = [rng.randbytes(50).hex() for _ in range(events)]
+        item.versions = [MIN_VERSION]
+    return state
+
+
+async def store_checkpoints(
+    sizes: list[tuple[int, int]], lose_reply: bool = False
+) -> tuple[dict[str, Progress] | None, SubmissionState, Store]:
+    """Write checkpoints one after the other; return what is read then.
+
+    `sizes` has the number of items and their events of each checkpoint; the
+    reply to the first one is lost if `lose_reply`.
+    """
+    store = Store()
+    store.write("holder-key", b"", 0, 0.0)
+    role = Role("p", "holder-key", store.revision, 0, 1e9)
+    kv = FakeKeyValue(store, KvFaultSet(lose_replies=int(lose_reply)))
+    registry = SubmissionRegistry()
+    checkpoints = CheckpointStore("p", kv, registry, PART_BYTES, Metrics())
+    for count, events in sizes:
+        state = make_progress(count, events)
+        registry.submissions["sub"] = state
+        await checkpoints.write_checkpoint(role)
+    reader = CheckpointStore("p", kv, registry, PART_BYTES, Metrics())
+    return await reader.load_checkpoint(), state, store
+
+
+async def check_large_checkpoint() -> bool:
+    """A checkpoint that is larger than one value is stored whole."""
+    loaded, state, store = await store_checkpoints([(40, 30)])
+    keys = [key for key in store.items if key.startswith("ps/p/p")]
+    fits = all(len(store.items[key].value) <= PART_BYTES for key in keys)
+    return (
+        loaded is not None
+        and len(keys) > 1
+        and fits
+        and {name: p.events for name, p in loaded.items()}
+        == {name: item.events for name, item in state.items.items()}
+    )
+
+
+async def check_smaller_checkpoint() -> bool:
+    """A smaller checkpoint leaves nothing of a larger one."""
+    kept, state, _ = await store_checkpoints([(40, 30), (2, 3)])
+    lost, _, _ = await store_checkpoints([(40, 30), (2, 3)], lose_reply=True)
+    names = set(state.items)
+    return set(kept or {}) == names and set(lost or {}) == names
+
+
+async def check_earlier_checkpoint() -> bool:
+    """A checkpoint of an earlier build, a single value, is read."""
+    store = Store()
+    progress = Progress("i0", ["e1"], [MIN_VERSION])
+    value = zlib.compress(msgspec.msgpack.encode([progress]), 1)
+    store.write("ps/p/p", value, 0, 0.0)
+    kv = FakeKeyValue(store, KvFaultSet())
+    reader = CheckpointStore(
+        "p", kv, SubmissionRegistry(), PART_BYTES, Metrics()
+    )
+    return await reader.load_checkpoint() == {"i0": progress}
+
+
 async def load_with(valid_until: float) -> tuple[bool, list[str]]:
     """Load a submission under a role; return success and loaded ids."""
     fleet = GatewayFleet(GatewayPlan(gateways=1))
@@ -200,6 +279,13 @@
     "a checkpoint of too old weights is ignored": check_old_checkpoint,
     "results are committed under the fence": check_fenced_commit,
     "new work needs a valid lease": check_load_without_lease,
+    "a checkpoint larger than one value is stored whole": (
+        check_large_checkpoint
+    ),
+    "a smaller checkpoint leaves nothing of a larger one": (
+        check_smaller_checkpoint
+    ),
+    "a checkpoint of an earlier build is read": check_earlier_checkpoint,
 }
 
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -2,6 +2,10 @@
 
 The next holder resumes from the last checkpoint, so a holder that crashes or
 is partitioned loses at most the work of one checkpoint interval.
+
+Pattern: many long items run at once, and their events don't fit into one
+value of the store. A checkpoint has as many parts as it needs, each readable
+by itself and all written in one transaction.
 """
 
 import zlib
@@ -33,7 +37,10 @@
 
 
 class CheckpointStore:
-    """Read and write the checkpoint of a pool, under a single key."""
+    """Read and write the checkpoint of a pool.
+
+    The first part has the key of the pool, the others keys below it.
+    """
 
     def __init__(
         self,
@@ -47,9 +54,10 @@
         self._key = const.PREFIX_PROGRESS + pool
         self._kv = kv
         self._registry = registry
-        self._max_bytes = value_bytes * 2 // 3
+        self._max_part_bytes = value_bytes * 2 // 3
         self._metrics = metrics
-        self._last_written = b""
+        self._last_written: list[bytes] = []
+        self._stored_parts = 0
 
     async def run(self, role: Role) -> None:
         """Write checkpoints at a fixed interval until cancelled."""
@@ -58,15 +66,24 @@
             await self.write_checkpoint(role)
 
     async def write_checkpoint(self, role: Role) -> bool:
-        """Write a checkpoint if it changed and fits into a value.
+        """Write a checkpoint if it changed.
 
         Return False when it should be written and was not.
         """
-        value = self._encode_progress()
-        if value == self._last_written or len(value) > self._max_bytes:
+        parts = self._encode_parts()
+        if parts == self._last_written:
             return True
+        # Parts that an earlier, larger checkpoint left are emptied.
+        empty = _encode_progress([])
+        padding = [empty] * (self._stored_parts - len(parts))
+        # A write whose reply is lost may have stored its parts.
+        self._stored_parts = max(self._stored_parts, len(parts))
+        puts = [
+            KvPut(self._make_part_key(number), part)
+            for number, part in enumerate(parts + padding)
+        ]
         transaction = KvTransaction(
-            (KvCheck(role.key, role.fence),), (KvPut(self._key, value),)
+            (KvCheck(role.key, role.fence),), tuple(puts)
         )
         written = await self._kv.commit(transaction)
         if isinstance(written, Err):
@@ -77,29 +94,76 @@
         if not written.ok_value.won:
             return False
         self._metrics.count("checkpoints")
-        self._last_written = value
+        self._last_written = parts
+        self._stored_parts = len(parts)
         return True
 
     async def load_checkpoint(self) -> dict[str, Progress] | None:
         """Return the last checkpoint by item id; None on a failed read."""
-        item = await self._kv.get_item(self._key)
-        if isinstance(item, Err):
+        first = await self._kv.get_item(self._key)
+        others = await self._kv.list_items(self._key + "/")
+        if isinstance(first, Err) or isinstance(others, Err):
             return None
-        if item.ok_value is None:
-            return {}
-        encoded = zlib.decompress(item.ok_value.value)
-        stored = msgspec.msgpack.decode(encoded, type=list[Progress])
-        return {progress.item: progress for progress in stored}
-
-    def _encode_progress(self) -> bytes:
-        """Encode the progress of all items without a committed result."""
-        stored = [
-            snapshot_progress(state)
-            for submission in self._registry.list_open()
-            for state in submission.items.values()
-            if state.events and state.phase is not ItemPhase.COMMITTED
-        ]
-        return zlib.compress(msgspec.msgpack.encode(stored), 1)
+        found = [first.ok_value] if first.ok_value is not None else []
+        found += others.ok_value[0]
+        self._last_written = []
+        self._stored_parts = len(found)
+        return {
+            progress.item: progress
+            for item in found
+            for progress in _decode_progress(item.value)
+        }
+
+    def _encode_parts(self) -> list[bytes]:
+        """Encode the progress of all items without a committed result.
+
+        Items of the steps that are due first come first. What doesn't fit
+        into MAX_PARTS parts is left out, logged and counted.
+        """
+        parts: list[list[Progress]] = [[]]
+        size = 0
+        left_out = 0
+        for submission in self._registry.list_open():
+            for state in submission.items.values():
+                if not state.events or state.phase is ItemPhase.COMMITTED:
+                    continue
+                progress = snapshot_progress(state)
+                item_size = measure_progress(progress)
+                if size + item_size > self._max_part_bytes and parts[-1]:
+                    if len(parts) == const.MAX_PARTS:
+                        left_out += 1
+                        continue
+                    parts.append([])
+                    size = 0
+                parts[-1].append(progress)
+                size += item_size
+        if left_out:
+            self._metrics.count("checkpoint_items_left_out", left_out)
+            log_event("checkpoint_items_left_out", items=left_out)
+        return [_encode_progress(part) for part in parts]
+
+    def _make_part_key(self, number: int) -> str:
+        """Return the key of a part, counted from 0."""
+        return f"{self._key}/{number}" if number else self._key
+
+
+def _encode_progress(progress: list[Progress]) -> bytes:
+    """Encode one part of a checkpoint."""
+    return zlib.compress(msgspec.msgpack.encode(progress), 1)
+
+
+def _decode_progress(value: bytes) -> list[Progress]:
+    """Decode one part of a checkpoint."""
+    encoded = zlib.decompress(value)
+    return msgspec.msgpack.decode(encoded, type=list[Progress])
+
+
+def measure_progress(progress: Progress) -> int:
+    """Return about how many bytes an item's progress takes, not compressed."""
+    events = sum(
+        len(event) + const.EVENT_OVERHEAD_BYTES for event in progress.events
+    )
+    return const.ITEM_OVERHEAD_BYTES + len(progress.item) + events
 
 
 def snapshot_progress(state: ItemState) -> Progress:
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -20,6 +20,9 @@
 MAX_COMMIT_ROWS: Final = 12
 MAX_COMMIT_BYTES: Final = MEBIBYTE // 2
 COMMIT_RETRY_DELAY_S: Final = 0.15
+# Upper bounds of what a checkpoint adds to the text of an event or item.
+EVENT_OVERHEAD_BYTES: Final = 5
+ITEM_OVERHEAD_BYTES: Final = 200
 # The successor of a lost holder generates at most this much again.
 CHECKPOINT_INTERVAL_S: Final = 1.0
 
