Write one checkpoint at a time; name what an instance said itself

The checkpoint task and the flush of a stopping holder wrote at the same time, as commits did: a slow older checkpoint could replace the newer one, and the next holder would generate more again. The launcher switched collections off for all roles, but only a gateway switches them on. The dump's announced_leaving also held what the list says. Change: a lock around encoding and writing a checkpoint; collections off for gateways alone; announced_leaving is the instance's own word. Result: 'a late checkpoint replaces no newer one' is red without the lock.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -47,8 +47,9 @@
     root = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     source = os.path.join(root, "packages", "pistachiospar", "src")
     sys.path.insert(0, source)
-    # Nearly all that the imports allocate stays; the gateway enables it again.
-    gc.disable()
+    if arguments[:1] == ["gateway"]:
+        # Nearly all that its imports allocate stays; it enables it again.
+        gc.disable()
     from pistachiospar.cli import main
 
     return main(arguments)
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -49,4 +49,5 @@
       | new work needs a valid lease               |
       | a checkpoint larger than one value is stored whole |
       | a smaller checkpoint leaves nothing of a larger one |
+      | a late checkpoint replaces no newer one            |
       | a checkpoint of an earlier build is read |
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -231,6 +231,26 @@
     return set(kept or {}) == names and set(lost or {}) == names
 
 
+async def check_overlapping_checkpoints() -> bool:
+    """A late checkpoint doesn't replace the one of a stopping holder."""
+    store = Store()
+    store.write("holder-key", b"", 0, 0.0)
+    role = Role("p", "holder-key", store.revision, 0, 1e9)
+    delays_s = iter([1.5])
+    faults = KvFaultSet(draw_delay_s=lambda: next(delays_s, 0.0))
+    kv = FakeKeyValue(store, faults)
+    registry = SubmissionRegistry()
+    checkpoints = CheckpointStore("p", kv, registry, PART_BYTES, Metrics())
+    registry.submissions["sub"] = make_progress(1, 2)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(checkpoints.write_checkpoint, role)
+        await trio.sleep(0.5)
+        registry.submissions["sub"] = make_progress(1, 9)
+        await checkpoints.write_checkpoint(role)
+    loaded = await checkpoints.load_checkpoint()
+    return loaded is not None and len(loaded["i0"].events) == 9
+
+
 async def check_earlier_checkpoint() -> bool:
     """A checkpoint of an earlier build, a single value, is read."""
     store = Store()
@@ -285,6 +305,7 @@
     "a smaller checkpoint leaves nothing of a larger one": (
         check_smaller_checkpoint
     ),
+    "a late checkpoint replaces no newer one": check_overlapping_checkpoints,
     "a checkpoint of an earlier build is read": check_earlier_checkpoint,
 }
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -32,6 +32,7 @@
 MAX_ORDER_DELAY_S = 4.0
 PLAIN_CALL_DURATION_S = 0.03
 PROMPT_HEADER = "Prompt"
+LeavingListener = Callable[[ListedInstance], None]
 STREAMED_PREFIXES = ("/rollout/", "/stream/")
 
 
@@ -42,8 +43,7 @@
     `slow_factor` multiplies the durations of calls. `truncated_share` is drawn
     for each event and plain response, `error_share` for each call, and
     `lost_order_share` for each load order: its reply is lost, and the order is
-    applied later. One that is `leaving` says so in all responses and serves
-    on.
+    applied later. One that is `leaving` says so and serves on.
     """
 
     down: bool = False
@@ -237,9 +237,7 @@
         self._cluster = cluster
         self._gateway = gateway
         self._connected: set[str] = set()
-        self.report_leaving: Callable[[ListedInstance], None] = (
-            lambda instance: None
-        )
+        self.report_leaving: LeavingListener = lambda instance: None
 
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether this gateway called the instance before."""
@@ -259,8 +257,6 @@
             await trio.sleep(0.05)
             raise UpstreamNotSentError("down")
         await trio.sleep(0.001)
-        if sampler.faults.leaving:
-            self.report_leaving(instance)
         if sampler.running >= sampler.slots:
             yield FakeResponse(503, not_run=True)
             return
@@ -279,8 +275,6 @@
         await trio.sleep(0.001)
         if sampler.faults.down:
             return LoadOrderOutcome.REFUSED
-        if sampler.faults.leaving:
-            self.report_leaving(instance)
         now = trio.current_time()
         fence_valid = order.fence >= sampler.fence
         self._cluster.orders.append(
@@ -307,8 +301,6 @@
         await trio.sleep(0.001)
         if sampler.faults.down:
             return Err("down")
-        if sampler.faults.leaving:
-            self.report_leaving(instance)
         return Ok(
             SamplerReport(
                 sampler.loading is not None,
@@ -323,9 +315,11 @@
         """Do nothing: there are no connections to close."""
 
     def _find_sampler(self, instance: ListedInstance) -> FakeSampler:
-        """Return the instance with what is due by now applied."""
+        """Return the instance after what is due by now, and its word."""
         sampler = self._cluster.samplers[instance.name]
         sampler.apply_due_orders(trio.current_time())
+        if sampler.faults.leaving and not sampler.faults.down:
+            self.report_leaving(instance)
         return sampler
 
     async def _start_run(
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -23,7 +23,8 @@
 
     `named_versions` has the newest version that trainers named per model,
     `retiring` the revision of the request to retire each instance. Both are
-    updated only while `watch_operator_keys` runs.
+    updated only while `watch_operator_keys` runs. `announcements` has what
+    instances said themselves.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         self.instances: dict[str, ListedInstance] = {}
         self.named_versions: dict[str, int] = {}
         self.retiring: dict[str, int] = {}
-        self._announcements = LeavingAnnouncements()
+        self.announcements = LeavingAnnouncements()
         self._grace_ends_at: dict[str, float] = {}
         self._listeners: list[Callable[[], None]] = []
         self.configuration_mirror = PrefixMirror(
@@ -112,11 +113,11 @@
 
     def is_leaving(self, instance: ListedInstance) -> bool:
         """Return whether an instance leaves, by the list or its own word."""
-        return instance.leaving or self._announcements.is_leaving(instance)
+        return instance.leaving or self.announcements.is_leaving(instance)
 
     def record_leaving(self, instance: ListedInstance) -> None:
         """Record that an instance announced in a response that it leaves."""
-        if not self._announcements.record(instance):
+        if not self.announcements.record(instance):
             return
         self._metrics.count("instances_announced_leaving")
         log_event(
@@ -208,7 +209,7 @@
                 return
         removed = self.instances.pop(name, None)
         if removed is not None:
-            self._announcements.handle_removal(removed)
+            self.announcements.handle_removal(removed)
             log_event("instance_gone", instance=name)
         self._notify_listeners()
 
@@ -218,7 +219,7 @@
             del self._grace_ends_at[name]
             removed = self.instances.pop(name, None)
             if removed is not None:
-                self._announcements.handle_removal(removed)
+                self.announcements.handle_removal(removed)
             log_event("instance_gone", instance=name, lapsed=True)
 
     def _notify_listeners(self) -> None:
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -8,8 +8,8 @@
 class InstanceDump(msgspec.Struct):
     """An instance as seen by this gateway.
 
-    `leaving` is what the list says, `announced_leaving` also counts what the
-    instance itself said.
+    `leaving` is what the list says, `announced_leaving` what the instance
+    said itself.
     """
 
     name: str
@@ -85,7 +85,7 @@
                 name,
                 instance.upstream,
                 instance.leaving,
-                directory.is_leaving(instance),
+                directory.announcements.is_leaving(instance),
                 gateway.health.get_state(name).in_flight,
                 gateway.health.get_state(name).failures,
             )
--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -58,6 +58,7 @@
         self._metrics = metrics
         self._last_written: list[bytes] = []
         self._stored_parts = 0
+        self._writing = trio.Lock()
 
     async def run(self, role: Role) -> None:
         """Write checkpoints at a fixed interval until cancelled."""
@@ -68,9 +69,14 @@
     async def write_checkpoint(self, role: Role) -> bool:
         """Write a checkpoint if it changed.
 
-        Return False when it should be written and was not.
+        Return False when it should be written and was not. Checkpoints are
+        written one at a time, so that an older one can't replace a newer one.
         """
-        parts = self._encode_parts()
+        async with self._writing:
+            return await self._write_parts(role, self._encode_parts())
+
+    async def _write_parts(self, role: Role, parts: list[bytes]) -> bool:
+        """Write the parts of a checkpoint if they changed."""
         if parts == self._last_written:
             return True
         # Parts that an earlier, larger checkpoint left are emptied.
