Leave most of the link to items after a large checkpoint

Cause: reading again: a pool whose checkpoint was too large for one value wrote none at all; now it would write megabytes each second, over front machines' links of 30 to 100 Mbit/s. Change: the wait after a checkpoint is at least four fifths of the cycle, by the time that the write took.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -6,6 +6,8 @@
 
     Examples: decisions
       | pattern                                                        |
+      | a checkpoint that is written fast is followed by the interval  |
+      | a checkpoint that takes long is followed by a longer pause     |
       | a peer that executed the last call is asked first              |
       | peers that failed come after those that were not asked         |
       | a peer that fails after a success is asked last                |
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -9,6 +9,7 @@
 from pistachiospar.pool_holders.coordinator import choose_candidacy_delay_s
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.routing.instances import ListedInstance
+from pistachiospar.submissions.checkpoints import choose_interval_s
 from pistachiospar.submissions.commits import choose_batch
 from pistachiospar.submissions.commits import find_commit_time
 from pistachiospar.submissions.models import Item
@@ -184,6 +185,14 @@
 
 CASES: dict[str, tuple[Callable[[], object], object]] = {
     **call_policies.CASES,
+    "a checkpoint that is written fast is followed by the interval": (
+        lambda: f"{choose_interval_s(0.05):.1f} s",
+        "1.0 s",
+    ),
+    "a checkpoint that takes long is followed by a longer pause": (
+        lambda: f"{choose_interval_s(0.8):.1f} s",
+        "4.0 s",
+    ),
     "a peer that executed the last call is asked first": (
         lambda: order_peers(("a", 1.0), ("b", None), ("c", 2.0))[0],
         "b",
--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -61,10 +61,13 @@
         self._writing = trio.Lock()
 
     async def run(self, role: Role) -> None:
-        """Write checkpoints at a fixed interval until cancelled."""
+        """Write checkpoints until cancelled, each after an interval."""
+        took_s = 0.0
         while True:
-            await trio.sleep(const.CHECKPOINT_INTERVAL_S)
+            await trio.sleep(choose_interval_s(took_s))
+            started_at = trio.current_time()
             await self.write_checkpoint(role)
+            took_s = trio.current_time() - started_at
 
     async def write_checkpoint(self, role: Role) -> bool:
         """Write a checkpoint if it changed.
@@ -153,6 +156,18 @@
         return f"{self._key}/{number}" if number else self._key
 
 
+def choose_interval_s(write_took_s: float) -> float:
+    """Return how long to wait after a checkpoint that took a while to write.
+
+    A large checkpoint, or one on a slow link, takes at most a share of the
+    time, so that items and readers keep the rest of the link.
+    """
+    return max(
+        const.CHECKPOINT_INTERVAL_S,
+        write_took_s / const.CHECKPOINT_MAX_TIME_SHARE,
+    )
+
+
 def _encode_progress(progress: list[Progress]) -> bytes:
     """Encode one part of a checkpoint."""
     return zlib.compress(msgspec.msgpack.encode(progress), 1)
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -25,6 +25,7 @@
 ITEM_OVERHEAD_BYTES: Final = 200
 # The successor of a lost holder generates at most this much again.
 CHECKPOINT_INTERVAL_S: Final = 1.0
+CHECKPOINT_MAX_TIME_SHARE: Final = 0.2
 
 # A sampler sends an event every 35 to 150 ms. One that is silent for this
 # long has lost the stream or the item's slot.
