--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -66,8 +66,9 @@
         while True:
             await trio.sleep(choose_interval_s(took_s))
             started_at = trio.current_time()
-            await self.write_checkpoint(role)
-            took_s = trio.current_time() - started_at
+            is_written = await self.write_checkpoint(role)
+            # A failed write says how long the store is silent.
+            took_s = trio.current_time() - started_at if is_written else 0.0
 
     async def write_checkpoint(self, role: Role) -> bool:
         """Write a checkpoint if it changed.
