--- a/features/support/holder_cases.py
+++ b/features/support/holder_cases.py
@@ -4,8 +4,14 @@
 from collections.abc import Callable
 from random import Random
 
+from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.gateway.diagnostics import dump_gateway
 from pistachiospar.gateway.process import compute_handover_limit_s
+from pistachiospar.submissions.archive import encode_results
+from pistachiospar.submissions.const import MAX_CONCURRENT_LOADS
+from pistachiospar.submissions.keys import make_results_key
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
+from pistachiospar_standins.fakes.gateway_fleet import HOST
 from pistachiospar_standins.fakes.gateway_fleet import POOL
 import trio
 
@@ -104,9 +110,42 @@
     return stopped and done and len(runs) == 12
 
 
+async def check_damaged_submissions(fleet: GatewayFleet) -> bool:
+    """Check that submissions with a hole are reported and block no other.
+
+    There are more of them than a new holder loads at the same time.
+    """
+    names = [f"damaged{number}" for number in range(MAX_CONCURRENT_LOADS + 2)]
+    for name in names:
+        await submit(fleet, make_history(name, 3), Random(1))
+        hole = make_results_key(name, 99)
+        fleet.store.write(hole, encode_results([]), 0, trio.current_time())
+    for name in list(fleet.running):
+        fleet.kill_gateway(name)
+        fleet.start_gateway(name)
+    await trio.sleep(5.0)
+    sound = make_history("sound", 3)
+    await submit(fleet, sound, Random(1))
+    await trio.sleep(5.0)
+    page = await read_page_at(fleet, "g0", sound)
+    request = HttpRequest("GET", f"/lots/{names[0]}", "", {"host": HOST})
+    response = await fleet.send_request("g0", request)
+    gateway = fleet.running["g0"].coordinator
+    dump = dump_gateway(gateway, trio.current_time(), trio.current_time())
+    return (
+        page is not None
+        and len(page.results) == 3
+        and response is not None
+        and response.status == 500
+        and gateway.metrics.counts["submissions_damaged"] > 0
+        and names[0] in dump.damaged_submissions
+    )
+
+
 CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
     "a holder that is cut off from the store notices it": check_cut_holder,
     "a holder that stays cut off commits without pauses": check_long_cut,
+    "submissions with a hole block no others": check_damaged_submissions,
     "a holder that stops in a store outage loses no work": (
         check_stop_in_outage
     ),
