Read the limits that instances name; log them and count what is sent there

The logs could not tell whether a gateway knows an instance's limit, nor what it sends there. Server-Limit is decoded in calls, orders and reports; all three now pass one client, which counts them (limited_calls, limited_orders, limited_reports); each change of a limit is logged, /state has the present one. Nothing is held back yet.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -23,6 +23,13 @@
       | a 200 that says it is not leaving |
       | an order's response that says it is leaving |
       | a report that says it is leaving |
+      | a 200 that names a limit |
+      | a refusal that names a limit |
+      | a 421 of another one that names a limit |
+      | a limit that is not a number |
+      | a limit below zero |
+      | an order's response that names a limit |
+      | a report that names a limit |
       | a 503 that says the request did not run    |
       | a 500 response                             |
       | a stream                                   |
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -160,6 +160,40 @@
         ["leaving", "idle"],
         operation="report",
     ),
+    "a 200 that names a limit": ResponseCase(
+        (make_response("c1", b"ok", extra="Server-Limit: 2.5\r\n"),),
+        ["limit 2.5", "200 ok"],
+    ),
+    "a refusal that names a limit": ResponseCase(
+        (
+            make_response(
+                "c1", b"", "503 No", "Not-Executed: 1\r\nServer-Limit: 0\r\n"
+            ),
+        ),
+        ["limit 0.0", "not run"],
+    ),
+    "a 421 of another one that names a limit": ResponseCase(
+        (make_response("c1", b"", "421 Misdirected", "Server-Limit: 3\r\n"),),
+        ["not run"],
+    ),
+    "a limit that is not a number": ResponseCase(
+        (make_response("c1", b"ok", extra="Server-Limit: nan\r\n"),),
+        ["200 ok"],
+    ),
+    "a limit below zero": ResponseCase(
+        (make_response("c1", b"ok", extra="Server-Limit: -1\r\n"),),
+        ["200 ok"],
+    ),
+    "an order's response that names a limit": ResponseCase(
+        (make_response("", b"{}", "202 Accepted", "Server-Limit: 4\r\n"),),
+        ["limit 4.0", "accepted"],
+        operation="order",
+    ),
+    "a report that names a limit": ResponseCase(
+        (make_response("", b"{}", extra="Server-Limit: 4\r\n"),),
+        ["limit 4.0", "idle"],
+        operation="report",
+    ),
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
     ),
@@ -228,6 +262,14 @@
     read_response = readers[case.operation]
     found: list[str] = []
     samplers.report_leaving = lambda instance: found.append("leaving")
+
+    def record_limit(
+        instance: ListedInstance, limit: float | None, sent_at: float
+    ) -> None:
+        if limit is not None:
+            found.append(f"limit {limit}")
+
+    samplers.report_limit = record_limit
     for number in range(1, case.calls + 1):
         call = SamplerCall(
             f"c{number}",
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -45,13 +45,15 @@
     """One incarnation of a gateway.
 
     `suspended_s` is the time in seconds for which its machine was suspended:
-    only the boot clock counts it.
+    only the boot clock counts it. `requests` are the scopes of the requests
+    that it serves, which end with it.
     """
 
     coordinator: GatewayCoordinator
     kv: PolledFakeKeyValue
     scope: trio.CancelScope
     suspended_s: float = 0.0
+    requests: set[trio.CancelScope] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -195,8 +197,11 @@
     def kill_gateway(self, name: str) -> None:
         """Kill a gateway; no-op when it is not running."""
         running = self.running.pop(name, None)
-        if running is not None:
-            running.scope.cancel()
+        if running is None:
+            return
+        running.scope.cancel()
+        for scope in running.requests:
+            scope.cancel()
 
     def can_connect(self, first: str, second: str) -> bool:
         """Return whether two gateways can reach each other."""
@@ -218,8 +223,12 @@
         recorder = ResponseRecorder()
         if running is None:
             return None
-        with trio.move_on_after(timeout_s):
-            await running.coordinator.handler.handle(request, recorder)
+        with trio.move_on_after(timeout_s) as scope:
+            running.requests.add(scope)
+            try:
+                await running.coordinator.handler.handle(request, recorder)
+            finally:
+                running.requests.discard(scope)
         if self.running.get(gateway) is not running or not recorder.complete:
             return None
         return recorder
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -13,6 +13,7 @@
 
 from pistachiospar.adapters.http.models import Headers
 from pistachiospar.ports.sampler import InstanceLoad
+from pistachiospar.ports.sampler import LimitListener
 from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import LoadOrderOutcome
 from pistachiospar.ports.sampler import SamplerCall
@@ -43,7 +44,8 @@
     `slow_factor` multiplies the durations of calls. `truncated_share` is drawn
     for each event and plain response, `error_share` for each call, and
     `lost_order_share` for each load order: its reply is lost, and the order is
-    applied later. One that is `leaving` says so and serves on.
+    applied later. One that is `leaving` says so and serves on. `limit_per_s`
+    is the limit that it names in its responses; it serves on beyond it.
     """
 
     down: bool = False
@@ -52,6 +54,7 @@
     lost_order_share: float = 0.0
     error_share: float = 0.0
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +112,15 @@
     gateway: str
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalRecord:
+    """A call, order or report as it arrived; the time is in seconds."""
+
+    arrived_at: float
+    instance: str
+    gateway: str
+
+
 @dataclass(slots=True)
 class FakeSampler:
     """The state of one instance.
@@ -178,7 +190,8 @@
     """All instances and the calls and orders that they received.
 
     `generated_versions` is the weight versions that made each event of a
-    call; `ended_at` is the time at which a call's text was complete.
+    call; `ended_at` is the time at which a call's text was complete;
+    `told_at` is when a gateway first heard of an instance's limit.
     """
 
     def __init__(self, rng: Random) -> None:
@@ -186,6 +199,8 @@
         self.rng = rng
         self.samplers: dict[str, FakeSampler] = {}
         self.runs: list[RunRecord] = []
+        self.arrivals: list[ArrivalRecord] = []
+        self.told_at: dict[tuple[str, str], float] = {}
         self.orders: list[OrderRecord] = []
         self.make_output = make_output
         self.generated_versions: dict[str, dict[int, set[int]]] = {}
@@ -238,6 +253,7 @@
         self._gateway = gateway
         self._connected: set[str] = set()
         self.report_leaving: LeavingListener = lambda instance: None
+        self.report_limit: LimitListener = lambda instance, limit, at: None
 
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether this gateway called the instance before."""
@@ -256,14 +272,19 @@
         if sampler.faults.down:
             await trio.sleep(0.05)
             raise UpstreamNotSentError("down")
+        sent_at = trio.current_time()
         await trio.sleep(0.001)
+        self._record_arrival(sampler)
         if sampler.running >= sampler.slots:
+            self._report_limit(sampler, instance, sent_at)
             yield FakeResponse(503, not_run=True)
             return
         self._connected.add(sampler.name)
         sampler.running += 1
         try:
-            yield await self._start_run(sampler, call)
+            response = await self._start_run(sampler, call)
+            self._report_limit(sampler, instance, sent_at)
+            yield response
         finally:
             sampler.running -= 1
 
@@ -272,10 +293,13 @@
     ) -> LoadOrderOutcome:
         """Order a load; an order with outcome UNKNOWN is applied later."""
         sampler = self._find_sampler(instance)
+        sent_at = trio.current_time()
         await trio.sleep(0.001)
         if sampler.faults.down:
             return LoadOrderOutcome.REFUSED
         now = trio.current_time()
+        self._record_arrival(sampler)
+        self._report_limit(sampler, instance, sent_at)
         fence_valid = order.fence >= sampler.fence
         self._cluster.orders.append(
             OrderRecord(
@@ -298,9 +322,12 @@
     ) -> Result[SamplerReport, str]:
         """Return the instance's report, Err when it is down."""
         sampler = self._find_sampler(instance)
+        sent_at = trio.current_time()
         await trio.sleep(0.001)
         if sampler.faults.down:
             return Err("down")
+        self._record_arrival(sampler)
+        self._report_limit(sampler, instance, sent_at)
         return Ok(
             SamplerReport(
                 sampler.loading is not None,
@@ -322,6 +349,22 @@
             self.report_leaving(instance)
         return sampler
 
+    def _record_arrival(self, sampler: FakeSampler) -> None:
+        """Record that a call, order or report of this gateway arrived."""
+        self._cluster.arrivals.append(
+            ArrivalRecord(trio.current_time(), sampler.name, self._gateway)
+        )
+
+    def _report_limit(
+        self, sampler: FakeSampler, instance: ListedInstance, sent_at: float
+    ) -> None:
+        """Report the limit that a response names."""
+        limit_per_s = sampler.faults.limit_per_s
+        if limit_per_s is not None:
+            key = (self._gateway, sampler.name)
+            self._cluster.told_at.setdefault(key, trio.current_time())
+        self.report_limit(instance, limit_per_s, sent_at)
+
     async def _start_run(
         self, sampler: FakeSampler, call: SamplerCall
     ) -> FakeResponse:
--- a/packages/pistachiospar/src/pistachiospar/directory/announcements.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/announcements.py
@@ -6,28 +6,19 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
 from typing import Final
 
-from ..adapters.http.client import Address
+from ..routing.instances import InstanceLifetime
 from ..routing.instances import ListedInstance
 
 MAX_ANNOUNCEMENTS: Final = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class Lifetime:
-    """What distinguishes the lifetimes of instances with one name."""
-
-    started_ms: int
-    address: Address
-
-
 class LeavingAnnouncements:
     """The lifetimes that announced to leave, by the name of the instance."""
 
     def __init__(self) -> None:
-        self._lifetimes: OrderedDict[str, Lifetime] = OrderedDict()
+        self._lifetimes: OrderedDict[str, InstanceLifetime] = OrderedDict()
 
     def record(self, instance: ListedInstance) -> bool:
         """Record an announcement; return whether it is new.
@@ -36,7 +27,7 @@
         """
         if self.is_leaving(instance):
             return False
-        self._lifetimes[instance.name] = _get_lifetime(instance)
+        self._lifetimes[instance.name] = instance.lifetime
         self._lifetimes.move_to_end(instance.name)
         while len(self._lifetimes) > MAX_ANNOUNCEMENTS:
             self._lifetimes.popitem(last=False)
@@ -45,7 +36,7 @@
     def is_leaving(self, instance: ListedInstance) -> bool:
         """Return whether this lifetime of an instance announced to leave."""
         known = self._lifetimes.get(instance.name)
-        return known is not None and known == _get_lifetime(instance)
+        return known is not None and known == instance.lifetime
 
     def handle_removal(self, instance: ListedInstance) -> None:
         """Forget an unlisted instance without a start time.
@@ -54,7 +45,3 @@
         """
         if not instance.started_ms:
             self._lifetimes.pop(instance.name, None)
-
-
-def _get_lifetime(instance: ListedInstance) -> Lifetime:
-    return Lifetime(instance.started_ms, instance.address)
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -15,6 +15,8 @@
 from ..forwarding.streams import StreamForwarder
 from ..kv_access.calls import PollableKeyValue
 from ..kv_access.relayed import RelayedKeyValue
+from ..limits.client import LimitedSamplerClient
+from ..limits.observations import LimitObservations
 from ..pool_holders.clock import Clocks
 from ..pool_holders.coordinator import HolderCoordinator
 from ..pool_holders.models import HolderRecord
@@ -61,7 +63,10 @@
         self.identity = identity
         self.metrics = Metrics()
         self._keys = keys
-        self._samplers = samplers
+        self.limits = LimitObservations(self.metrics)
+        self._samplers = LimitedSamplerClient(
+            samplers, self.limits, self.metrics
+        )
         self._clocks = clocks
         self._rng = rng
         incarnation = token_hex(const.INCARNATION_BYTES)
@@ -74,7 +79,7 @@
             rng,
         )
         self.directory = Directory(self.kv, direct_kv, keys, self.metrics, rng)
-        samplers.report_leaving = self.directory.record_leaving
+        self._samplers.report_leaving = self.directory.record_leaving
         role_leases = RoleLeaseManager(
             self.kv, record, identity.lease_s, clocks.read_boot_s
         )
@@ -111,7 +116,7 @@
         self.forwarder = Forwarder(
             identity.name,
             identity.zone,
-            samplers,
+            self._samplers,
             self.directory.find_instances,
             self.health,
             self.metrics,
@@ -125,7 +130,7 @@
         self.handler = GatewayHandler(
             self.directory,
             self.forwarder,
-            StreamForwarder(samplers, self.forwarder, self.health, rng),
+            StreamForwarder(self._samplers, self.forwarder, self.health, rng),
             self.archive,
             self.reader,
             clocks.read_wall_s,
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -9,7 +9,8 @@
     """An instance as seen by this gateway.
 
     `leaving` is what the list says, `announced_leaving` what the instance
-    said itself.
+    said itself. `limit_per_s` is the limit of calls that it names, None
+    without one.
     """
 
     name: str
@@ -18,6 +19,7 @@
     announced_leaving: bool
     in_flight: int
     failures: int
+    limit_per_s: float | None
 
 
 class RoleDump(msgspec.Struct):
@@ -88,6 +90,7 @@
                 directory.announcements.is_leaving(instance),
                 gateway.health.get_state(name).in_flight,
                 gateway.health.get_state(name).failures,
+                gateway.limits.find_limit(instance),
             )
             for name, instance in directory.instances.items()
         ],
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that upstream instances name in their responses."""
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from contextlib import asynccontextmanager
+import re
 from typing import Final
 
 import msgspec
@@ -18,6 +19,7 @@
 from ..adapters.http.models import Headers
 from . import const
 from ..ports.sampler import InstanceLoad
+from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import LoadOrderOutcome
 from ..ports.sampler import SamplerCall
@@ -57,6 +59,7 @@
     const.HEADER_REQUEST_PRIORITY.lower(),
 }
 _WRONG_INSTANCE: Final = 421
+_DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _NOT_RUN_STATUSES: Final = frozenset((_WRONG_INSTANCE,))
 _ORDER_OUTCOMES: Final = {
     202: LoadOrderOutcome.ACCEPTED,
@@ -142,6 +145,7 @@
         self.report_leaving: Callable[[ListedInstance], None] = (
             lambda instance: None
         )
+        self.report_limit: LimitListener = lambda instance, limit, at: None
 
     @asynccontextmanager
     async def call(
@@ -153,6 +157,7 @@
         """
         pool = self._find_pool(instance)
         headers = _make_headers(instance, call)
+        sent_at = trio.current_time()
         try:
             async with pool.request(
                 call.method, call.target, headers, call.body
@@ -164,7 +169,9 @@
                     raise UpstreamError(
                         f"received the response to request {response_id}"
                     )
-                self._read_leaving(instance, response.status, response.headers)
+                self._read_announcements(
+                    instance, response.status, response.headers, sent_at
+                )
                 yield PlatformResponse(response)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
@@ -188,6 +195,7 @@
         ]
         body = msgspec.json.encode(message)
         pool = self._find_pool(instance)
+        sent_at = trio.current_time()
         try:
             with trio.fail_after(ORDER_TIMEOUT_S):
                 response = await pool.fetch(
@@ -197,7 +205,9 @@
             return LoadOrderOutcome.REFUSED
         except (HttpError, trio.TooSlowError):
             return LoadOrderOutcome.UNKNOWN
-        self._read_leaving(instance, response.status, response.headers)
+        self._read_announcements(
+            instance, response.status, response.headers, sent_at
+        )
         return _ORDER_OUTCOMES.get(response.status, LoadOrderOutcome.REFUSED)
 
     async def fetch_report(
@@ -206,10 +216,13 @@
         """Return the sampler's report; the Err says what failed."""
         pool = self._find_pool(instance)
         headers = [(const.HEADER_EXPECT_INSTANCE, instance.name)]
+        sent_at = trio.current_time()
         try:
             with trio.fail_after(REPORT_TIMEOUT_S):
                 response = await pool.fetch("GET", const.PATH_REPORT, headers)
-            self._read_leaving(instance, response.status, response.headers)
+            self._read_announcements(
+                instance, response.status, response.headers, sent_at
+            )
             if response.status != 200:
                 return Err(f"status {response.status}")
             message = msgspec.json.decode(response.body, type=ReportMessage)
@@ -239,19 +252,24 @@
         for name in [name for name in self._pools if name not in names]:
             self._pools.pop(name).close()
 
-    def _read_leaving(
+    def _read_announcements(
         self,
         instance: ListedInstance,
         status: int,
         headers: dict[str, str],
+        sent_at: float,
     ) -> None:
-        """Report an instance whose response says that it is leaving.
+        """Report what a response says of its instance: leaving, limit.
 
         A 421 is the response of another instance at the same address.
         """
+        if status == _WRONG_INSTANCE:
+            return
         leaving = headers.get(const.HEADER_SERVER_LEAVING, "").strip()
-        if leaving == const.LEAVING and status != _WRONG_INSTANCE:
+        if leaving == const.LEAVING:
             self.report_leaving(instance)
+        limit = _read_limit(headers.get(const.HEADER_SERVER_LIMIT))
+        self.report_limit(instance, limit, sent_at)
 
     def _find_pool(self, instance: ListedInstance) -> HttpPool:
         """Return an instance's connections, new ones for a new address."""
@@ -303,6 +321,13 @@
     return InstanceLoad(int(parts[0]), int(parts[1]))
 
 
+def _read_limit(text: str | None) -> float | None:
+    """Parse a number of requests a second, None for anything else."""
+    if text is None or not _DECIMAL_PATTERN.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def _read_event(block: bytes) -> StreamEvent | None:
     """Parse one event, None if it has no number."""
     number: int | None = None
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -117,14 +117,21 @@
     versions: dict[str, int] = field(default_factory=dict)
 
 
+# An instance, the calls a second that its response names as its limit, None
+# when it names none, and when that call was sent, in monotonic seconds.
+LimitListener = Callable[[ListedInstance, float | None, float], None]
+
+
 class SamplerClient(Protocol):
     """Client of all upstream instances.
 
     `report_leaving` is called with each instance that announces in a
-    response to any call, order or report that it is leaving.
+    response to any call, order or report that it is leaving; `report_limit`
+    is called for each response.
     """
 
     report_leaving: Callable[[ListedInstance], None]
+    report_limit: LimitListener
 
     def call(
         self, instance: ListedInstance, call: SamplerCall
--- a/packages/pistachiospar/src/pistachiospar/routing/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/instances.py
@@ -6,6 +6,15 @@
 from ..adapters.http.client import Address
 
 
+@dataclass(frozen=True, slots=True)
+class InstanceLifetime:
+    """What tells an instance from others before and after it."""
+
+    name: str
+    started_ms: int
+    address: Address
+
+
 @dataclass(frozen=True, slots=True)
 class ListedInstance:
     """An upstream instance.
@@ -23,3 +32,8 @@
     leaving: bool
     started_ms: int = 0
     versions: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def lifetime(self) -> InstanceLifetime:
+        """Return what tells this lifetime from others of the same name."""
+        return InstanceLifetime(self.name, self.started_ms, self.address)
