Start limited instances' items by urgency; leave orders out of permits

Seen in the logs: 2295 refusals in 16 s, since the scheduler offered instances whose refusal held for the less urgent submission only; orders refused up to 19 times behind the items' queue; reports and orders took a quarter of the limit.

--- a/packages/pistachiospar/src/pistachiospar/limits/client.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/client.py
@@ -5,11 +5,9 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
-from result import Err
 from result import Result
 import trio
 
-from . import const
 from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import LoadOrderOutcome
@@ -26,7 +24,10 @@
 
 
 class LimitedSamplerClient:
-    """Pass calls on to the instances, within the limits that these name."""
+    """Pass calls on to the instances, within the limits that these name.
+
+    Orders and reports take no slot and need no permit; they are counted.
+    """
 
     def __init__(
         self,
@@ -93,31 +94,15 @@
     async def order_load(
         self, instance: ListedInstance, order: LoadOrder
     ) -> LoadOrderOutcome:
-        """Send an order; after UNKNOWN it may still be carried out.
-
-        REFUSED without a permit. The sender's lease was checked before, so
-        neither a permit nor a second keeper is waited for.
-        """
-        if self._limits.find_limit(instance) is not None:
-            permit = await self._limits.acquire(
-                instance, const.ORDER_URGENCY, 0.0, max_keepers=1
-            )
-            if not permit.granted:
-                return LoadOrderOutcome.REFUSED
-            self._metrics.count("limited_orders")
+        """Send an order; after UNKNOWN it may still be carried out."""
+        self._count_limited(instance, "orders")
         return await self._samplers.order_load(instance, order)
 
     async def fetch_report(
         self, instance: ListedInstance
     ) -> Result[SamplerReport, str]:
         """Return the instance's report; the Err says what failed."""
-        if self._limits.find_limit(instance) is not None:
-            permit = await self._limits.acquire(
-                instance, const.ORDER_URGENCY, const.REPORT_MAX_WAIT_S
-            )
-            if not permit.granted:
-                return Err("limit reached")
-            self._metrics.count("limited_reports")
+        self._count_limited(instance, "reports")
         return await self._samplers.fetch_report(instance)
 
     def is_connected(self, instance: ListedInstance) -> bool:
@@ -128,6 +113,11 @@
         """Close the connections to all instances but the named ones."""
         self._samplers.retain_only(names)
 
+    def _count_limited(self, instance: ListedInstance, kind: str) -> None:
+        """Count what is sent to an instance that named a limit."""
+        if self._limits.find_limit(instance) is not None:
+            self._metrics.count(f"limited_{kind}")
+
     def _pass_leaving(self, instance: ListedInstance) -> None:
         """Pass on that an instance says that it is leaving."""
         self.report_leaving(instance)
--- a/packages/pistachiospar/src/pistachiospar/limits/const.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/const.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 MAX_KNOWN_LIMITS: Final = 4096
-# Unused permits are kept for this long, so that calls need not come evenly.
-BURST_S: Final = 0.5
+# Steps bring their calls together; a limit counts calls a second.
+BURST_S: Final = 1.0
 # An instance that takes no calls gets one in ten seconds, whose response
 # tells whether that has ended.
 MIN_CALLS_PER_S: Final = 0.1
@@ -22,7 +22,3 @@
 MIN_REFUSAL_S: Final = 0.02
 REFUSAL_PER_GATEWAY_S: Final = 0.001
 MAX_QUEUED_NOTICES: Final = 256
-
-# Load orders and reports count as calls of the most urgent routes.
-ORDER_URGENCY: Final = 0
-REPORT_MAX_WAIT_S: Final = 0.3
--- a/packages/pistachiospar/src/pistachiospar/limits/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/coordinator.py
@@ -91,12 +91,11 @@
         instance: ListedInstance,
         urgency: int,
         max_wait_s: float,
-        max_keepers: int = const.MAX_KEEPERS_ASKED,
     ) -> PermitDecision:
         """Wait until a call may be sent, for at most `max_wait_s`.
 
         A refusal says after how many seconds to ask again. Asking takes up to
-        PERMIT_TIMEOUT_S for each of `max_keepers` that doesn't reply.
+        PERMIT_TIMEOUT_S for each of MAX_KEEPERS_ASKED that don't reply.
         """
         observed = self.observations.get_observation(instance)
         if observed is None or observed.per_s is None:
@@ -105,9 +104,7 @@
         wait_s = self.find_wait_s(instance, urgency, now)
         if wait_s > 0:
             return PermitDecision(False, wait_s)
-        reply = await self._ask(
-            instance, observed, urgency, max_wait_s, max_keepers
-        )
+        reply = await self._ask(instance, observed, urgency, max_wait_s)
         self._apply_newer_limit(instance, reply)
         if reply.granted:
             self._metrics.count("permits_granted")
@@ -130,13 +127,12 @@
         observed: ObservedLimit,
         urgency: int,
         max_wait_s: float,
-        max_keepers: int = const.MAX_KEEPERS_ASKED,
     ) -> PermitReply:
         """Ask the instance's keeper, or this gateway when none replies."""
         members = self._list_members()
         share, asked = 1.0, 0
         for name in self._rank_keepers(instance.name, members):
-            if name == self._own_name or asked >= max_keepers:
+            if name == self._own_name or asked >= const.MAX_KEEPERS_ASKED:
                 break
             failure = self._find_failure(name)
             if failure is None:
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -1,5 +1,6 @@
 """Dispatch of items to free slots, and moves away from slow instances."""
 
+from collections.abc import Callable
 import math
 
 import trio
@@ -29,21 +30,31 @@
 class SlotAllocator:
     """Free slots of the instances during one scheduling pass."""
 
-    def __init__(self, candidates: dict[str, list[SlotCandidate]]) -> None:
-        """Initialize from each model's candidates, which share their slots."""
+    def __init__(
+        self,
+        candidates: dict[str, list[SlotCandidate]],
+        is_open: Callable[[str, int], bool],
+    ) -> None:
+        """Initialize from each model's candidates, which share their slots.
+
+        `is_open` returns whether an instance's limit may allow an item of
+        some urgency.
+        """
+        self._is_open = is_open
         self.candidates = candidates
         self.free = {
             candidate.instance: candidate.free
             for model_candidates in candidates.values()
             for candidate in model_candidates
         }
-        self._no_slot_from: dict[str, int] = {}
+        self._no_slot_from: dict[tuple[str, int], int] = {}
 
     def allocate(
         self,
         submission: SubmissionState,
         state: ItemState,
         group_instance: str,
+        urgency: int,
     ) -> SlotCandidate | None:
         """Choose a slot for an item and take it; None when none is usable.
 
@@ -52,17 +63,22 @@
         """
         model = submission.submission.model
         version = submission.submission.min_version
-        if version >= self._no_slot_from.get(model, version + 1):
+        key = (model, urgency)
+        if version >= self._no_slot_from.get(key, version + 1):
             return None
         candidate = choose_slot(
-            self.candidates.get(model, []),
+            (
+                candidate
+                for candidate in self.candidates.get(model, [])
+                if self._is_open(candidate.instance, urgency)
+            ),
             self.free,
             version,
             group_instance,
             state.avoided_instance,
         )
         if candidate is None:
-            self._no_slot_from[model] = version
+            self._no_slot_from[key] = version
         else:
             self.free[candidate.instance] -= 1
         return candidate
@@ -115,13 +131,11 @@
         """
         self._runner.event_intervals.retain_only(instances)
         open_submissions = self._registry.list_open()
-        urgency = self._find_urgency(open_submissions)
-        free = {
-            name: self._count_free_slots(instance, urgency, now)
-            for name, instance in instances.items()
-        }
         allocator = SlotAllocator(
-            {m: self._list_candidates(instances, free, m, now) for m in models}
+            {m: self._list_candidates(instances, m, now) for m in models},
+            lambda name, urgency: (
+                not self._limits.find_wait_s(instances[name], urgency, now)
+            ),
         )
         if not may_start:
             return allocator.free
@@ -141,6 +155,10 @@
     ) -> bool:
         """Start items on free slots; return whether some still wait."""
         any_waiting = False
+        urgencies = {
+            submission.submission.id: self._find_urgency(submission)
+            for submission in open_submissions
+        }
         for submission, state in order_items(open_submissions, now):
             if now >= submission.give_up_at:
                 submission.finish_item(fail_item(state, "age"), now)
@@ -148,7 +166,12 @@
                 continue
             group = (submission.submission.id, state.item.group)
             group_instance = self._group_instances.get(group, "")
-            candidate = allocator.allocate(submission, state, group_instance)
+            candidate = allocator.allocate(
+                submission,
+                state,
+                group_instance,
+                urgencies[submission.submission.id],
+            )
             if candidate is None:
                 any_waiting = True
                 continue
@@ -222,11 +245,7 @@
                     state.cancel_scope.cancel()
 
     def _list_candidates(
-        self,
-        instances: Instances,
-        free: dict[str, int],
-        model: str,
-        now: float,
+        self, instances: Instances, model: str, now: float
     ) -> list[SlotCandidate]:
         """Return the instances for a model, without those that load it."""
         versions = self._versions
@@ -239,7 +258,7 @@
                 SlotCandidate(
                     name,
                     versions.find_version(name, model),
-                    free[name],
+                    self._count_free_slots(instance, now),
                     max(1, instance.slots),
                     self._runner.event_intervals.find_interval(name, now),
                     versions.assigned.get(name) == model,
@@ -247,18 +266,14 @@
             )
         return candidates
 
-    def _find_urgency(self, submissions: list[SubmissionState]) -> int:
-        """Return the urgency of the most urgent open submission."""
-        table = self._directory.table
-        routes = [
-            table.find_route(state.submission.host, state.submission.path)
-            for state in submissions
-        ]
-        return min((r.priority for r in routes if r is not None), default=0)
+    def _find_urgency(self, submission: SubmissionState) -> int:
+        """Return the priority of a submission's route, 0 without one."""
+        route = self._directory.table.find_route(
+            submission.submission.host, submission.submission.path
+        )
+        return 0 if route is None else route.priority
 
-    def _count_free_slots(
-        self, instance: ListedInstance, urgency: int, now: float
-    ) -> int:
+    def _count_free_slots(self, instance: ListedInstance, now: float) -> int:
         """Return how many items may start at an instance now.
 
         After a failure it gets none during its backoff, then a single one
@@ -273,8 +288,6 @@
         limit_per_s = self._limits.find_limit(instance)
         if limit_per_s is None:
             return free
-        if self._limits.find_wait_s(instance, urgency, now):
-            return 0
         # What the limit allows until the next scheduling pass.
         return min(free, math.ceil(limit_per_s * const.RETRY_DELAY_S) or 1)
 
--- a/packages/pistachiospar/src/pistachiospar/weight_versions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/weight_versions/const.py
@@ -8,7 +8,6 @@
 LOAD_TIMEOUT_S: Final = 6.0
 REPORT_INITIAL_DELAY_S: Final = 0.75
 REPORT_INTERVAL_S: Final = 0.15
-REPORTS_LIMIT_SHARE: Final = 0.5
 ORDER_RETRY_DELAY_S: Final = 0.2
 FIRST_VERSION: Final = 1
 # Trainers request a step every 4 s and train for 0.5 to 1 s: a backlog longer
--- a/packages/pistachiospar/src/pistachiospar/weight_versions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/weight_versions/coordinator.py
@@ -204,12 +204,12 @@
     def _choose_report_interval_s(self, instance: ListedInstance) -> float:
         """Return the time between two reports.
 
-        Reports use up only a share of the limit that an instance named.
+        An instance that named a limit sends them no faster than it takes
+        calls.
         """
         limit_per_s = self._find_limit(instance)
         if limit_per_s is None:
             return const.REPORT_INTERVAL_S
-        reports_per_s = const.REPORTS_LIMIT_SHARE * limit_per_s
-        if reports_per_s * const.LOAD_TIMEOUT_S < 1.0:
-            return const.LOAD_TIMEOUT_S
-        return max(const.REPORT_INTERVAL_S, 1.0 / reports_per_s)
+        slowest_per_s = 1.0 / const.LOAD_TIMEOUT_S
+        interval_s = 1.0 / max(limit_per_s, slowest_per_s)
+        return max(const.REPORT_INTERVAL_S, interval_s)
