--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -16,6 +16,7 @@
 from pistachiospar.ports.sampler import LimitListener
 from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import LoadOrderOutcome
+from pistachiospar.ports.sampler import ProcessState
 from pistachiospar.ports.sampler import SamplerCall
 from pistachiospar.ports.sampler import SamplerReport
 from pistachiospar.ports.sampler import StreamEvent
@@ -32,6 +33,7 @@
 LOAD_DURATION_S = 0.9
 MAX_ORDER_DELAY_S = 4.0
 PLAIN_CALL_DURATION_S = 0.03
+CRASH_DELAY_S = 0.05
 PROMPT_HEADER = "Prompt"
 LeavingListener = Callable[[ListedInstance], None]
 STREAMED_PREFIXES = ("/rollout/", "/stream/")
@@ -121,6 +123,16 @@
     gateway: str
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """The crash of an instance under a call; the time is in seconds."""
+
+    crashed_at: float
+    instance: str
+    gateway: str
+    body: bytes
+
+
 @dataclass(slots=True)
 class FakeSampler:
     """The state of one instance.
@@ -191,7 +203,8 @@
 
     `generated_versions` is the weight versions that made each event of a
     call; `ended_at` is the time at which a call's text was complete;
-    `told_at` is when a gateway first heard of an instance's limit.
+    `told_at` is when a gateway first heard of an instance's limit. A call or
+    item with one of `crashing_bodies` crashes each instance that runs it.
     """
 
     def __init__(self, rng: Random) -> None:
@@ -201,6 +214,8 @@
         self.runs: list[RunRecord] = []
         self.arrivals: list[ArrivalRecord] = []
         self.told_at: dict[tuple[str, str], float] = {}
+        self.crashing_bodies: set[bytes] = set()
+        self.crashes: list[CrashRecord] = []
         self.orders: list[OrderRecord] = []
         self.make_output = make_output
         self.generated_versions: dict[str, dict[int, set[int]]] = {}
@@ -338,6 +353,12 @@
             )
         )
 
+    async def check_process(self, instance: ListedInstance) -> ProcessState:
+        """Return whether the instance is down."""
+        await trio.sleep(0.001)
+        down = self._cluster.samplers[instance.name].faults.down
+        return ProcessState.GONE if down else ProcessState.RUNNING
+
     def retain_only(self, names: set[str]) -> None:
         """Do nothing: there are no connections to close."""
 
@@ -372,6 +393,8 @@
         now = trio.current_time()
         record = RunRecord(now, call.request_id, sampler.name, self._gateway)
         self._cluster.runs.append(record)
+        if call.body in self._cluster.crashing_bodies:
+            await self._crash(sampler, call)
         if self._cluster.rng.random() < sampler.faults.error_share:
             return FakeResponse(500)
         if not call.target.startswith(STREAMED_PREFIXES):
@@ -391,6 +414,18 @@
         stamp = make_stamp(call.request_id)
         return FakeResponse(200, stamp=stamp, version=version, events=events)
 
+    async def _crash(self, sampler: FakeSampler, call: SamplerCall) -> None:
+        """Crash the instance; its other calls are interrupted too."""
+        await trio.sleep(CRASH_DELAY_S)
+        if not sampler.faults.down:
+            sampler.faults.down = True
+            self._cluster.crashes.append(
+                CrashRecord(
+                    trio.current_time(), sampler.name, self._gateway, call.body
+                )
+            )
+        raise UpstreamError("the instance crashed")
+
     async def _generate(
         self,
         sampler: FakeSampler,
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -283,6 +283,10 @@
         connection.close()
         return True
 
+    async def open_idle(self) -> None:
+        """Open a connection for later requests; raises ConnectError."""
+        self._store_idle(await self._open_connection())
+
     def has_idle(self, now: float) -> bool:
         """Return whether a connection is idle, and not for too long.
 
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash the instances that run them."""
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -8,6 +8,7 @@
 import trio
 
 from . import const
+from ..crashes.coordinator import CrashWatch
 from ..limits.coordinator import InstanceLimits
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
@@ -78,6 +79,7 @@
         find_instances: Callable[[str, float], list[ListedInstance]],
         health: InstanceHealth,
         limits: InstanceLimits,
+        crashes: CrashWatch,
         metrics: Metrics,
         rng: Random,
     ) -> None:
@@ -88,6 +90,7 @@
         self._find_instances = find_instances
         self._health = health
         self._limits = limits
+        self._crashes = crashes
         self._metrics = metrics
         self._rng = rng
         self._nursery: trio.Nursery | None = None
@@ -369,6 +372,10 @@
             outcome = CallFailure(FailureKind.NOT_RUN, str(error))
         except UpstreamError as error:
             outcome = CallFailure(FailureKind.LOST, str(error))
+            if call.fingerprint:
+                await self._crashes.inspect_loss(
+                    instance, call.fingerprint, call.request_id
+                )
         finally:
             state.in_flight -= 1
         now = trio.current_time()
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -12,6 +12,8 @@
     """A request to one upstream.
 
     `give_up_at` is the deadline for the response, in monotonic seconds.
+    `fingerprint` recognises the request when it comes again; empty for calls
+    that are owed whatever instances they crash.
     """
 
     request_id: str
@@ -23,6 +25,7 @@
     give_up_at: float
     max_attempts: int
     hedged: bool = True
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -11,6 +11,7 @@
 import trio
 
 from . import const
+from ..crashes.coordinator import CrashWatch
 from ..ports.caller_response import CallerSink
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
@@ -53,12 +54,14 @@
         samplers: SamplerClient,
         forwarder: Forwarder,
         health: InstanceHealth,
+        crashes: CrashWatch,
         rng: Random,
     ) -> None:
         """Initialize; `forwarder` picks the instances."""
         self._samplers = samplers
         self._forwarder = forwarder
         self._health = health
+        self._crashes = crashes
         self._rng = rng
 
     async def forward(
@@ -100,6 +103,10 @@
                 detail = str(error)
                 state.may_have_run = True
                 state.attempts += 1
+                if call.fingerprint:
+                    await self._crashes.inspect_loss(
+                        instance, call.fingerprint, call.request_id
+                    )
                 self._health.record_failure(instance.name, now, severe=False)
                 log_event(
                     "stream_interrupted",
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -8,6 +8,7 @@
 import trio
 
 from . import const
+from ..crashes.coordinator import CrashWatch
 from ..directory.coordinator import Directory
 from ..directory.models import DirectoryKeys
 from ..forwarding.coordinator import Forwarder
@@ -124,6 +125,7 @@
             rng,
         )
         self.health = InstanceHealth(rng)
+        self.crashes = CrashWatch(self._samplers, self.metrics)
         self.forwarder = Forwarder(
             identity.name,
             identity.zone,
@@ -131,6 +133,7 @@
             self.directory.find_instances,
             self.health,
             self.limits,
+            self.crashes,
             self.metrics,
             rng,
         )
@@ -142,7 +145,9 @@
         self.handler = GatewayHandler(
             self.directory,
             self.forwarder,
-            StreamForwarder(self._samplers, self.forwarder, self.health, rng),
+            StreamForwarder(
+                self._samplers, self.forwarder, self.health, self.crashes, rng
+            ),
             self.archive,
             self.reader,
             clocks.read_wall_s,
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -13,6 +13,7 @@
 from ..adapters.http.models import HttpRequest
 from . import const
 from ..const import CONTENT_TYPE_JSON
+from ..crashes.fingerprints import compute_fingerprint
 from ..directory.coordinator import Directory
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.models import CallFailure
@@ -31,6 +32,7 @@
 from ..platform.callers import EndRequest
 from ..platform.callers import ItemBodyRequest
 from ..platform.callers import read_caller_headers
+from ..platform.callers import read_identity
 from ..platform.callers import read_submission
 from ..platform.callers import read_submission_request
 from ..platform.callers import ResultsRequest
@@ -136,6 +138,13 @@
             request.body,
             arrived_at + max(0.0, limit_s - const.DEADLINE_MARGIN_S),
             route.max_attempts,
+            fingerprint=compute_fingerprint(
+                caller.host,
+                request.method,
+                request.target,
+                read_identity(request),
+                request.body,
+            ),
         )
         if route.stream:
             outcome: CallOutcome | None = await self._streams.forward(
--- a/packages/pistachiospar/src/pistachiospar/limits/client.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/client.py
@@ -11,6 +11,7 @@
 from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import LoadOrderOutcome
+from ..ports.sampler import ProcessState
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
 from ..ports.sampler import SamplerReport
@@ -105,6 +106,10 @@
         self._count_limited(instance, "reports")
         return await self._samplers.fetch_report(instance)
 
+    async def check_process(self, instance: ListedInstance) -> ProcessState:
+        """Return whether an instance still accepts connections."""
+        return await self._samplers.check_process(instance)
+
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether a call there needs no new connection."""
         return self._samplers.is_connected(instance)
--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -110,6 +110,13 @@
 SubmissionRequest = ResultsRequest | ItemBodyRequest | EndRequest
 
 
+def read_identity(request: HttpRequest) -> str:
+    """Return what names the caller in a request, empty without."""
+    return "\0".join(
+        request.headers.get(name, "") for name in const.CALLER_HEADERS
+    )
+
+
 def read_caller_headers(request: HttpRequest) -> CallerHeaders:
     """Read the headers that concern this service."""
     deadline_ms = _read_float(request.headers.get(const.HEADER_DEADLINE_MS))
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -32,6 +32,7 @@
 HEADER_REQUEST_ID: Final = "request-id"
 HEADER_DEADLINE_MS: Final = "deadline-ms"
 HEADER_WAIT_MS: Final = "wait-ms"
+CALLER_HEADERS: Final = ("authorization", "api-key", "tenant")
 
 # Samplers
 PATH_REPORT: Final = "/report"
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -15,6 +15,7 @@
 from ..adapters.http.client import HttpPool
 from ..adapters.http.client import HttpStreamResponse
 from ..adapters.http.errors import ConnectError
+from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
 from ..adapters.http.models import Headers
 from . import const
@@ -22,6 +23,7 @@
 from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
 from ..ports.sampler import LoadOrderOutcome
+from ..ports.sampler import ProcessState
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerReport
 from ..ports.sampler import StreamEvent
@@ -34,6 +36,7 @@
 CONNECT_TIMEOUT_S: Final = 0.3
 ORDER_TIMEOUT_S: Final = 1.0
 REPORT_TIMEOUT_S: Final = 0.5
+CHECK_TIMEOUT_S: Final = 0.1
 MAX_IDLE_CONNECTIONS: Final = 64
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -238,6 +241,20 @@
             )
         )
 
+    async def check_process(self, instance: ListedInstance) -> ProcessState:
+        """Return whether an instance accepts connections.
+
+        A connection that it accepts is kept for the next call.
+        """
+        try:
+            with trio.fail_after(CHECK_TIMEOUT_S):
+                await self._find_pool(instance).open_idle()
+        except (ConnectTimeoutError, trio.TooSlowError):
+            return ProcessState.SILENT
+        except ConnectError:
+            return ProcessState.GONE
+        return ProcessState.RUNNING
+
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether there is an idle connection to a sampler."""
         pool = self._pools.get(instance.name)
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -125,6 +125,14 @@
 LimitListener = Callable[[ListedInstance, float | None, float], None]
 
 
+class ProcessState(Enum):
+    """Whether an instance's process runs; SILENT tells neither."""
+
+    RUNNING = "running"
+    GONE = "gone"
+    SILENT = "silent"
+
+
 class SamplerClient(Protocol):
     """Client of all upstream instances.
 
@@ -154,6 +162,9 @@
     ) -> Result[SamplerReport, str]:
         """Fetch the instance's status report."""
 
+    async def check_process(self, instance: ListedInstance) -> ProcessState:
+        """Return whether an instance still accepts connections."""
+
     def is_connected(self, instance: ListedInstance) -> bool:
         """Return whether a call there needs no new connection."""
 
