--- a/features/support/crash_cases.py
+++ b/features/support/crash_cases.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import msgspec
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import APP
@@ -23,6 +24,7 @@
 
 from .histories import make_history
 from .histories import make_submission_request
+from .submission_checks import ResultView
 from .submission_scenarios import read_page_at
 
 # The bound of the users' pages: from 3 s after the third crash on, at most
@@ -296,7 +298,11 @@
             await trio.sleep(0.2)
             if run.count_crashes(body) >= 5:
                 run.fleet.cluster.crashing_bodies.clear()
-    completed = [r for r in history.results.values() if r.state == "completed"]
+    results = [
+        msgspec.json.decode(result, type=ResultView)
+        for result in history.results.values()
+    ]
+    completed = [r for r in results if r.state == "completed"]
     if run.count_crashes(body) < 5 or len(completed) < 6:
         return [f"{len(completed)} of 6 completed"]
     return []
