Suspend requests that crash the instances that run them

Callers of lampu-app got 503 and 504 for 3 s each time such a request came: it ended all three instances, and again at each repeat. Cause: nothing recognised a request that comes again; each attempt had the full budget of attempts. Class: a budget that is counted per attempt where the damage is done per request. Change: a caller's request that is lost with its instance is recorded by fingerprint under the gateways' prefix of the store, for ten minutes. A crash is blamed on the request that was lost in the most crashes, so those that were only in flight are not suspected; a response clears a request. After three crashes it is refused at once as not run, with the time of its next trial in Retry-After; a trial (after 10 s, then 60 s) is claimed in the store by one gateway. A call ends after two crashes and is not hedged after the first. Items and scoring calls are never recorded nor refused. The case of a mended request now leaves the others 2 s to hear of it, the users' bound for changes.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -1,4 +1,3 @@
-@known-red
 Feature: Requests that crash the instances that run them
   Such a request comes again, at any gateway. Failure guarded against: it
   crashes more and more instances, or an innocent request is suspended.
@@ -11,6 +10,7 @@
       | case                             |
       | it comes every four seconds      |
       | it asks for a stream             |
+      | it crashes them late             |
       | it comes at all gateways at once |
       | the gateways restart meanwhile   |
       | the store is away at first       |
--- a/features/support/crash_cases.py
+++ b/features/support/crash_cases.py
@@ -34,9 +34,12 @@
 MAX_MORE_SENDS = 3
 
 RESTART_S = 3.0
+CHANGE_APPLIED_S = 2.0
 MAX_VIRTUAL_S = 900.0
 GUILTY = b"crashes whatever runs it"
 MAX_REFUSAL_S = 0.1
+# A call leaves instances to the others, although it may go to three.
+MAX_CRASHES_PER_CALL = 2
 APPS = ("a0", "a1", "a2")
 
 
@@ -173,6 +176,19 @@
     return check_sends(run)
 
 
+async def check_hedges(run: CrashRun) -> list[str]:
+    """It crashes them late, when a hedged attempt runs already."""
+    run.fleet.cluster.crash_delay_s = 0.3
+    await run.send("g0", GUILTY)
+    # Attempts that run on when the caller has its response.
+    await trio.sleep(1.0)
+    crashes = run.count_crashes()
+    if crashes > MAX_CRASHES_PER_CALL:
+        return [f"{crashes} instances crashed under one call"]
+    await repeat_guilty(run, 20, 4.0)
+    return check_sends(run)
+
+
 async def check_crowd(run: CrashRun) -> list[str]:
     """The request comes at all gateways at the same time."""
     for _ in range(20):
@@ -280,6 +296,8 @@
             if response is not None and response.status == 200:
                 break
             await trio.sleep(4.0)
+        # Changes are in force everywhere within this time.
+        await trio.sleep(CHANGE_APPLIED_S)
         statuses = [(await run.send(f"g{n}", GUILTY)) for n in (0, 1, 2)]
         if all(r is not None and r.status == 200 for r in statuses):
             return found
@@ -311,6 +329,7 @@
 CASES: dict[str, Case] = {
     "it comes every four seconds": check_repeats,
     "it asks for a stream": check_streams,
+    "it crashes them late": check_hedges,
     "it comes at all gateways at once": check_crowd,
     "the gateways restart meanwhile": check_restarts,
     "the store is away at first": check_outage,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -216,6 +216,7 @@
         self.told_at: dict[tuple[str, str], float] = {}
         self.crashing_bodies: set[bytes] = set()
         self.crashes: list[CrashRecord] = []
+        self.crash_delay_s = CRASH_DELAY_S
         self.orders: list[OrderRecord] = []
         self.make_output = make_output
         self.generated_versions: dict[str, dict[int, set[int]]] = {}
@@ -416,7 +417,7 @@
 
     async def _crash(self, sampler: FakeSampler, call: SamplerCall) -> None:
         """Crash the instance; its other calls are interrupted too."""
-        await trio.sleep(CRASH_DELAY_S)
+        await trio.sleep(self._cluster.crash_delay_s)
         if not sampler.faults.down:
             sampler.faults.down = True
             self._cluster.crashes.append(
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -3,12 +3,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from random import Random
 
 import trio
 
 from . import const
+from ..crashes.const import MAX_CRASHES_PER_CALL
 from ..crashes.coordinator import CrashWatch
+from ..crashes.table import Judgement
+from ..crashes.table import Standing
 from ..limits.coordinator import InstanceLimits
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
@@ -43,7 +47,9 @@
     maximum (refused ones don't count), `refusals` those that an instance
     refused. `server_error` is the last 5xx response, returned when no
     attempt gets a better one; `detail` explains the last failure. The call
-    waits for instances at their limit up to `permit_wait_until`.
+    waits for instances at their limit up to `permit_wait_until`. `crashes`
+    counts the instances that ended under it; `is_trial` is set for a single
+    attempt of a suspended request.
     """
 
     call: ForwardCall
@@ -55,6 +61,8 @@
     may_have_run: bool = False
     server_error: CallResponse | None = None
     permit_wait_until: float = float("inf")
+    crashes: int = 0
+    is_trial: bool = False
     detail: str = "no instance available"
     cancel_scopes: list[trio.CancelScope] = field(default_factory=list)
 
@@ -113,8 +121,16 @@
         deadline: it ends the call by itself, and closing the connection
         instead would be expensive.
         """
+        is_trial = False
+        if call.fingerprint:
+            judgement = await self._crashes.admit(call.fingerprint)
+            if judgement.standing is Standing.SUSPENDED:
+                return suspend_call(call, judgement)
+            is_trial = judgement.standing is Standing.TRIAL
+            if judgement.standing is not Standing.FREE:
+                call = replace(call, hedged=False)
         sender, outcomes = trio.open_memory_channel[CallOutcome](64)
-        attempts = CallAttempts(call, sender)
+        attempts = CallAttempts(call, sender, is_trial=is_trial)
         outcome: CallOutcome | None = None
         try:
             with trio.move_on_at(call.give_up_at):
@@ -127,6 +143,9 @@
             return outcome
         if attempts.server_error is not None:
             return attempts.server_error
+        suspension = self._find_suspension(attempts)
+        if suspension is not None and attempts.may_refuse():
+            return suspend_call(call, suspension)
         may_have_run = attempts.may_have_run or attempts.running > 0
         kind = FailureKind.LOST if may_have_run else FailureKind.NOT_RUN
         if attempts.running:
@@ -236,6 +255,8 @@
         while True:
             if attempts.may_refuse() and trio.current_time() >= refuse_at:
                 return None
+            if not attempts.running and self._find_suspension(attempts):
+                return attempts.server_error
             if attempts.running == 0 or self._may_hedge(attempts):
                 started = self._start_attempt(attempts)
                 if not started and attempts.running == 0:
@@ -274,12 +295,26 @@
                     attempts.detail = outcome.detail
                     if not call.route.is_repeatable:
                         return outcome
+                    if attempts.crashes >= MAX_CRASHES_PER_CALL or (
+                        attempts.crashes and attempts.is_trial
+                    ):
+                        return outcome
+
+    def _find_suspension(self, attempts: CallAttempts) -> Judgement | None:
+        """Return why a call may not be sent on; None when it may."""
+        if not attempts.call.fingerprint or attempts.is_trial:
+            return None
+        judgement = self._crashes.find_standing(attempts.call.fingerprint)
+        if judgement.standing in (Standing.FREE, Standing.SUSPECT):
+            return None
+        return judgement
 
     def _may_hedge(self, attempts: CallAttempts) -> bool:
         """Return whether a further attempt may run in parallel."""
         call = attempts.call
         return (
             call.hedged
+            and not attempts.crashes
             and call.route.is_repeatable
             and attempts.started < call.max_attempts
             and attempts.started > 0
@@ -373,11 +408,13 @@
         except UpstreamError as error:
             outcome = CallFailure(FailureKind.LOST, str(error))
             if call.fingerprint:
-                await self._crashes.inspect_loss(
+                attempts.crashes += await self._crashes.inspect_loss(
                     instance, call.fingerprint, call.request_id
                 )
         finally:
             state.in_flight -= 1
+        if call.fingerprint and isinstance(outcome, CallResponse):
+            self._crashes.record_response(call.fingerprint)
         now = trio.current_time()
         self._record_outcome(
             instance.name, outcome, now - started_at, sent, now
@@ -440,3 +477,20 @@
 def choose_permit_wait_s(call: ForwardCall) -> float:
     """Return for how long a call may wait for instances at their limit."""
     return const.PERMIT_WAIT_SHARE * call.route.target_latency_s
+
+
+def suspend_call(call: ForwardCall, judgement: Judgement) -> CallFailure:
+    """Log and return the refusal of a call that crashes instances."""
+    detail = (
+        f"the request crashes the instances that run it: {judgement.crashes}"
+    )
+    log_event(
+        "call_suspended",
+        request=call.request_id,
+        route=call.route.name,
+        fingerprint=call.fingerprint,
+        crashes=judgement.crashes,
+        trial=judgement.trial,
+        wait_s=round(judgement.wait_s, 1),
+    )
+    return CallFailure(FailureKind.SUSPENDED, detail, judgement.wait_s)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -43,10 +43,12 @@
     """Why an attempt got no response.
 
     NOT_RUN: no instance ran the call. LOST: an instance may have run it.
+    SUSPENDED: not run, since it crashes the instances that run it.
     """
 
     NOT_RUN = "not-run"
     LOST = "lost"
+    SUSPENDED = "suspended"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -11,7 +11,9 @@
 import trio
 
 from . import const
+from ..crashes.const import MAX_CRASHES_PER_CALL
 from ..crashes.coordinator import CrashWatch
+from ..crashes.table import Standing
 from ..ports.caller_response import CallerSink
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
@@ -23,6 +25,7 @@
 from ..telemetry.logs import log_event
 from .coordinator import choose_permit_wait_s
 from .coordinator import Forwarder
+from .coordinator import suspend_call
 from .health import InstanceHealth
 from .models import CallFailure
 from .models import FailureKind
@@ -37,13 +40,15 @@
 
     `last_event` is the number of the last event sent to the caller, 0 for
     none. `started` is set once status and headers were sent, `may_have_run`
-    once an instance may have run the call.
+    once an instance may have run the call; `crashes` counts the instances
+    that ended under it.
     """
 
     last_event: int = 0
     started: bool = False
     may_have_run: bool = False
     attempts: int = 0
+    crashes: int = 0
 
 
 class StreamForwarder:
@@ -73,10 +78,17 @@
         doesn't take it for a complete one.
         """
         state = StreamState()
+        max_attempts = call.max_attempts
+        if call.fingerprint:
+            judgement = await self._crashes.admit(call.fingerprint)
+            if judgement.standing is Standing.SUSPENDED:
+                return suspend_call(call, judgement)
+            if judgement.standing is Standing.TRIAL:
+                max_attempts = 1
         permit_wait_until = trio.current_time() + choose_permit_wait_s(call)
         tried: set[str] = set()
         detail = "no instance available"
-        while state.attempts < call.max_attempts:
+        while state.attempts < max_attempts:
             now = trio.current_time()
             instance = self._forwarder.pick_instance(call.route, tried, now)
             if now >= call.give_up_at and not state.started:
@@ -104,7 +116,7 @@
                 state.may_have_run = True
                 state.attempts += 1
                 if call.fingerprint:
-                    await self._crashes.inspect_loss(
+                    state.crashes += await self._crashes.inspect_loss(
                         instance, call.fingerprint, call.request_id
                     )
                 self._health.record_failure(instance.name, now, severe=False)
@@ -115,7 +127,9 @@
                     events=state.last_event,
                     detail=detail,
                 )
-                if not call.route.is_repeatable:
+                if not call.route.is_repeatable or self._has_to_stop(
+                    call, state
+                ):
                     break
         if state.started:
             return None
@@ -123,6 +137,15 @@
         expected_s = self._forwarder.estimate_wait_s(call.route)
         return CallFailure(kind, detail, expected_s)
 
+    def _has_to_stop(self, call: ForwardCall, state: StreamState) -> bool:
+        """Return whether a stream crashed too many instances to go on."""
+        if not state.crashes:
+            return False
+        judgement = self._crashes.find_standing(call.fingerprint)
+        return state.crashes >= MAX_CRASHES_PER_CALL or (
+            judgement.standing not in (Standing.FREE, Standing.SUSPECT)
+        )
+
     async def _relay(
         self,
         call: ForwardCall,
@@ -163,6 +186,8 @@
                 await sink.write(event.raw)
                 state.last_event = event.number
         await sink.finish()
+        if call.fingerprint:
+            self._crashes.record_response(call.fingerprint)
         return True
 
     async def _send_response(
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -8,6 +8,9 @@
 import trio
 
 from . import const
+from ..crashes.const import PREFIX_CLEARED
+from ..crashes.const import PREFIX_RECORDS
+from ..crashes.const import PREFIX_TRIALS
 from ..crashes.coordinator import CrashWatch
 from ..directory.coordinator import Directory
 from ..directory.models import DirectoryKeys
@@ -98,6 +101,12 @@
         self.holders = HolderCoordinator(
             self.kv, direct_kv, record, role_leases, identity.cpu_capacity, rng
         )
+        self.crashes = CrashWatch(
+            identity.name, self._samplers, self.kv, self.metrics
+        )
+        self.holders.subscribe(PREFIX_RECORDS, self.crashes.apply_event)
+        self.holders.subscribe(PREFIX_CLEARED, self.crashes.apply_event)
+        self.holders.subscribe(PREFIX_TRIALS, self.crashes.apply_event)
         mirrors = [
             self.directory.configuration_mirror,
             self.directory.instance_mirror,
@@ -125,7 +134,6 @@
             rng,
         )
         self.health = InstanceHealth(rng)
-        self.crashes = CrashWatch(self._samplers, self.metrics)
         self.forwarder = Forwarder(
             identity.name,
             identity.zone,
@@ -173,6 +181,7 @@
             await nursery.start(self.forwarder.run)
             nursery.start_soon(self.watch_relay.run)
             nursery.start_soon(self.limits.run)
+            nursery.start_soon(self.crashes.run)
             nursery.start_soon(self.holders.publish_address)
             nursery.start_soon(self._compete_for_pools)
             task_status.started()
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -168,6 +168,11 @@
                 return
             case CallResponse(status, headers, body):
                 await exchange.send_response(status, headers, body)
+            case CallFailure(FailureKind.SUSPENDED, detail, wait_s):
+                problem = refuse_not_run("crashes-instances", detail)
+                await self._refuse(
+                    exchange, caller, problem, retry_after_s=wait_s
+                )
             case CallFailure(FailureKind.NOT_RUN, detail, expected_s):
                 problem = refuse_not_run("not-run", detail)
                 await self._refuse(
@@ -311,10 +316,12 @@
         problem: Problem,
         submission: str = "",
         expected_s: float | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         """Send a problem, and count and log it.
 
-        `expected_s` is when the caller can be served, if that is known.
+        `expected_s` is when the caller can be served, if that is known;
+        `retry_after_s` is when it may be, and not sooner.
         """
         self._metrics.count(f"refused_{problem.kind}")
         log_event(
@@ -330,7 +337,8 @@
             (n, v) for n, v in problem.make_headers() if n != "Retry-After"
         ]
         if problem.retry_after_s is not None:
-            headers.append(("Retry-After", str(self._find_wait_s(expected_s))))
+            wait_s = retry_after_s or self._find_wait_s(expected_s)
+            headers.append(("Retry-After", str(round(wait_s, 2))))
         await exchange.send_response(
             problem.status, headers, problem.encode_body()
         )
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-# One watch covers the holders of pools and the addresses of gateways.
+# One watch covers the holders of pools, the addresses of gateways and crashes.
 PREFIX_GATEWAYS: Final = "ps/g/"
 PREFIX_HOLDERS: Final = "ps/g/holder/"
 PREFIX_MEMBERS: Final = "ps/g/member/"
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
@@ -56,9 +56,16 @@
             const.WATCH_POLL_TIMEOUT_S,
             keep_history=True,
         )
+        self._listeners: dict[str, Callable[[KvEvent], None]] = {}
         self._members: dict[str, HolderRecord] = {}
         self._member_lease = 0
 
+    def subscribe(
+        self, prefix: str, listener: Callable[[KvEvent], None]
+    ) -> None:
+        """Pass the changes of other keys that the watch covers on."""
+        self._listeners[prefix] = listener
+
     def list_members(self) -> Mapping[str, HolderRecord]:
         """Return the records of all gateways that published one, by name."""
         return self._members
@@ -235,6 +242,10 @@
         if event.key.startswith(const.PREFIX_MEMBERS):
             self._apply_member(event)
             return
+        for prefix, listener in self._listeners.items():
+            if event.key.startswith(prefix):
+                listener(event)
+                return
         pool = event.key.removeprefix(const.PREFIX_HOLDERS)
         if event.value is None:
             self.holders.pop(pool, None)
