Bound what a response without end may take of a gateway

A body, an event or a refusal without end filled a gateway's memory until the call's deadline (169 to 281 MB in the tests' second); informational responses were read for ever. Class: input of an upstream that is trusted to end. Measured: features/platform.feature, ten new cases, seven failed before (two by memory, five by not ending in 10 s); all 65 scenarios pass.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -38,6 +38,25 @@
       | a stream that ends within an event         |
       | nothing, as its port is closed             |
 
+  # Bytes that are no answer may come until the gateway closes: none of them
+  # may fill its memory or hold up the call for its whole time.
+  Scenario Outline: a sampler sends without end <response>
+    When a sampler sends <response>
+    Then the gateway reads the expected result
+
+    Examples:
+      | response                            |
+      | a head without end                  |
+      | a header without end                |
+      | a status line without end           |
+      | informational responses without end |
+      | a body without end or length        |
+      | chunks without end                  |
+      | a refusal without end               |
+      | an event without end                |
+      | an order's response without end     |
+      | a report without end                |
+
   Scenario: a request keeps its end-to-end headers
     When a sampler sends a complete response
     Then the sampler received the caller's request
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -21,6 +21,8 @@
     assert context.found == context.case.expected, context.found
     expected = context.case.connections
     assert context.connections == expected, context.connections
+    sent = context.sampler.endless_bytes
+    assert sent <= sampler_responses.MAX_ENDLESS_BYTES, sent
 
 
 @then("the sampler received the caller's request")
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -12,11 +13,15 @@
 from pistachiospar.ports.upstream import UpstreamError
 from pistachiospar.ports.upstream import UpstreamNotSentError
 from pistachiospar.routing.instances import ListedInstance
+from result import Err
 import trio
 
 from .kv_contract import serve_loopback
 
 TIMEOUT_S = 10.0
+ENDLESS_BLOCK_BYTES = 65_536
+# A gateway has 300 MB for everything; its kernel buffers some of these too.
+MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 
 
 def make_response(
@@ -51,8 +56,9 @@
     """The responses of a sampler and the results that are expected.
 
     After each response the sampler resets or closes the connection if
-    `is_reset` or `is_closed` says so. The calls are made one after the
-    other, on the same connection where that is safe.
+    `is_reset` or `is_closed` says so; `endless` is sent after it until the
+    gateway closes the connection. The calls are made one after the other, on
+    the same connection where that is safe.
     """
 
     responses: tuple[bytes, ...]
@@ -63,6 +69,7 @@
     calls: int = 1
     is_stream: bool = False
     operation: str = "call"
+    endless: bytes = b""
 
 
 LEAVING = "Server-Leaving: 1\r\n"
@@ -194,6 +201,49 @@
         ["limit 4.0", "idle"],
         operation="report",
     ),
+    "a head without end": ResponseCase(
+        (b"HTTP/1.1 200 OK\r\n",), ["may have run"], endless=b"X-A: b\r\n"
+    ),
+    "a header without end": ResponseCase(
+        (b"HTTP/1.1 200 OK\r\nX-A: ",), ["may have run"], endless=b"b"
+    ),
+    "a status line without end": ResponseCase(
+        (b"HTTP/1.1 200 O",), ["may have run"], endless=b"K"
+    ),
+    "informational responses without end": ResponseCase(
+        (b"HTTP/1.1 100 Continue\r\n\r\n",),
+        ["may have run"],
+        endless=b"HTTP/1.1 100 Continue\r\n\r\n",
+    ),
+    "a body without end or length": ResponseCase(
+        (UNFRAMED,), ["may have run"], endless=b"no answer "
+    ),
+    "chunks without end": ResponseCase(
+        (make_stream(end=False),), ["may have run"], endless=b"3\r\nabc\r\n"
+    ),
+    "a refusal without end": ResponseCase(
+        (
+            b"HTTP/1.1 503 Full\r\nRequest-Id: c1\r\nNot-Executed: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+        ),
+        ["may have run"],
+        endless=b"3\r\nabc\r\n",
+    ),
+    "an event without end": ResponseCase(
+        (make_stream(TWO_EVENTS[0], end=False),),
+        ["4: 1 a", "may have run"],
+        is_stream=True,
+        endless=b"3\r\nabc\r\n",
+    ),
+    "an order's response without end": ResponseCase(
+        (UNFRAMED.replace(b"200 OK", b"202 Accepted"),),
+        ["unknown"],
+        operation="order",
+        endless=b"no answer ",
+    ),
+    "a report without end": ResponseCase(
+        (UNFRAMED,), ["no report"], operation="report", endless=b"no answer "
+    ),
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
     ),
@@ -207,6 +257,7 @@
     case: ResponseCase
     connections: int = 0
     served: int = 0
+    endless_bytes: int = 0
     requests: list[bytes] = field(default_factory=list)
 
     async def handle(self, stream: trio.SocketStream) -> None:
@@ -220,6 +271,9 @@
                 response = self.case.responses[self.served]
                 self.served += 1
                 await stream.send_all(response)
+                if self.case.endless:
+                    await self._send_without_end(stream)
+                    return
                 if self.case.is_reset:
                     await trio.sleep(0.02)
                     _reset_connection(stream)
@@ -227,6 +281,14 @@
                 if self.case.is_closed:
                     return
 
+    async def _send_without_end(self, stream: trio.SocketStream) -> None:
+        """Send until the gateway closes the connection."""
+        block = self.case.endless * (ENDLESS_BLOCK_BYTES // 16)
+        with suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(block)
+                self.endless_bytes += len(block)
+
 
 def _reset_connection(stream: trio.SocketStream) -> None:
     """Close a connection with a reset."""
@@ -306,8 +368,10 @@
     call: SamplerCall,
 ) -> list[str]:
     """Fetch a report."""
-    report = (await samplers.fetch_report(instance)).unwrap()
-    return ["busy" if report.busy else "idle"]
+    fetched = await samplers.fetch_report(instance)
+    if isinstance(fetched, Err):
+        return ["no report"]
+    return ["busy" if fetched.ok_value.busy else "idle"]
 
 
 async def _read_complete(
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -11,13 +11,19 @@
 
 from .const import CONNECT_TIMEOUT_S
 from .const import KEEP_ALIVE_MARGIN_S
+from .const import MAX_BUFFERED_RESPONSE_BYTES
+from .const import MAX_INFORMATIONAL_RESPONSES
+from .const import MAX_RESPONSE_BYTES
+from .const import MAX_TINY_CHUNKS
 from .const import POOL_IDLE_TIMEOUT_S
 from .const import POOL_MAX_IDLE_CONNECTIONS
 from .const import RECEIVE_CHUNK_BYTES
 from .const import TCP_USER_TIMEOUT_MS
+from .const import TINY_CHUNK_BYTES
 from .errors import ConnectError
 from .errors import ConnectionLostError
 from .errors import ConnectTimeoutError
+from .errors import ResponseTooLargeError
 from .models import Headers
 from .models import HttpResponse
 
@@ -63,10 +69,18 @@
         self._connection = connection
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body; raises ConnectionLostError when it is truncated."""
+        """Yield the body.
+
+        Raises ConnectionLostError when it is truncated, ResponseTooLargeError
+        when it has too many tiny chunks.
+        """
+        tiny_chunks = 0
         while True:
             event = await self._connection.receive_event()
             if isinstance(event, h11.Data):
+                tiny_chunks += len(event.data) < TINY_CHUNK_BYTES
+                if tiny_chunks > MAX_TINY_CHUNKS:
+                    raise ResponseTooLargeError("too many tiny chunks")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self.trailers = {
@@ -79,12 +93,48 @@
                     "connection closed before the end of the body"
                 )
 
-    async def read_body(self) -> bytes:
-        """Return the complete body; raises ConnectionLostError."""
-        parts = [part async for part in self.iter_chunks()]
+    async def read_body(self, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+        """Return the complete body.
+
+        Raises ConnectionLostError, and ResponseTooLargeError beyond
+        `max_bytes`.
+        """
+        parts: list[bytes] = []
+        size = 0
+        async for part in self.iter_chunks():
+            size += len(part)
+            if size > max_bytes:
+                raise ResponseTooLargeError(f"body exceeds {max_bytes} bytes")
+            parts.append(part)
         return b"".join(parts)
 
 
+class ReceiveBuffer:
+    """Memory that the bodies of several responses may take together."""
+
+    def __init__(self, max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES) -> None:
+        """Start empty."""
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
+
+    async def read_body(self, response: HttpStreamResponse) -> bytes:
+        """Return a complete body; raises the errors of its `read_body`."""
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async for part in response.iter_chunks():
+                size += len(part)
+                self._used_bytes += len(part)
+                if size > MAX_RESPONSE_BYTES:
+                    raise ResponseTooLargeError(f"{size} bytes of body")
+                if self._used_bytes > self._max_bytes:
+                    raise ResponseTooLargeError("too many bodies at once")
+                parts.append(part)
+            return b"".join(parts)
+        finally:
+            self._used_bytes -= size
+
+
 class HttpConnection:
     """One client connection, used for one request at a time."""
 
@@ -101,7 +151,7 @@
     ) -> HttpStreamResponse:
         """Send a request; return its response without the body.
 
-        Raises ConnectionLostError.
+        Raises ConnectionLostError and ResponseTooLargeError.
         """
         request = h11.Request(method=method, target=target, headers=headers)
         data = self._h11.send(request) or b""
@@ -111,7 +161,7 @@
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ConnectionLostError(str(error)) from error
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self.receive_event()
             if isinstance(event, h11.Response):
                 response = HttpStreamResponse(event, self)
@@ -121,6 +171,7 @@
                 raise ConnectionLostError(
                     "connection closed before the response"
                 )
+        raise ResponseTooLargeError("too many informational responses")
 
     async def receive_event(self) -> h11.Event:
         """Return the next h11 event; raises ConnectionLostError."""
@@ -263,15 +314,17 @@
         headers: Headers | None = None,
         body: bytes = b"",
         new_connection: bool = False,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> HttpResponse:
         """Send a request; return the complete response.
 
-        Raises the errors of `request`.
+        Raises the errors of `request`, and ResponseTooLargeError beyond
+        `max_bytes` of body.
         """
         async with self.request(
             method, target, headers, body, new_connection
         ) as response:
-            content = await response.read_body()
+            content = await response.read_body(max_bytes)
             return HttpResponse(response.status, response.headers, content)
 
     async def is_reachable(self) -> bool:
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
@@ -9,6 +9,13 @@
 MAX_BODY_BYTES: Final = 16 * MEBIBYTE
 MAX_BUFFERED_BYTES: Final = 128 * MEBIBYTE
 MAX_CONNECTIONS: Final = 10_000
+# The largest body that the users' operators let callers send.
+MAX_RESPONSE_BYTES: Final = 32 * MEBIBYTE
+MAX_BUFFERED_RESPONSE_BYTES: Final = 48 * MEBIBYTE
+# Tiny chunks take far more processor time than their bytes are worth.
+TINY_CHUNK_BYTES: Final = 64
+MAX_TINY_CHUNKS: Final = 16_384
+MAX_INFORMATIONAL_RESPONSES: Final = 16
 RECEIVE_CHUNK_BYTES: Final = 64 * KIBIBYTE
 IDLE_TIMEOUT_S: Final = 60.0
 READ_TIMEOUT_S: Final = 30.0
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
@@ -13,5 +13,9 @@
     """No reaction to the attempt to open a connection."""
 
 
+class ResponseTooLargeError(HttpError):
+    """A response exceeds what its reader takes; the rest was not read."""
+
+
 class ConnectionLostError(HttpError):
     """Loss of the connection before the response was complete."""
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -14,11 +14,13 @@
 
 from ..adapters.http.client import HttpPool
 from ..adapters.http.client import HttpStreamResponse
+from ..adapters.http.client import ReceiveBuffer
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
 from ..adapters.http.models import Headers
 from . import const
+from ..const import MEBIBYTE
 from ..ports.sampler import InstanceLoad
 from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
@@ -38,6 +40,8 @@
 REPORT_TIMEOUT_S: Final = 0.5
 CHECK_TIMEOUT_S: Final = 0.1
 MAX_IDLE_CONNECTIONS: Final = 64
+MAX_REPORT_BYTES: Final = MEBIBYTE
+MAX_EVENT_BYTES: Final = MEBIBYTE
 
 _HOP_BY_HOP_HEADERS: Final = frozenset(
     (
@@ -97,9 +101,12 @@
 class PlatformResponse:
     """A sampler's response, read as it arrives."""
 
-    def __init__(self, response: HttpStreamResponse) -> None:
-        """Read the head of the response."""
+    def __init__(
+        self, response: HttpStreamResponse, buffer: ReceiveBuffer
+    ) -> None:
+        """Read the head of the response; `buffer` is for its body."""
         self._response = response
+        self._buffer = buffer
         self.status = response.status
         self.headers = strip_hop_by_hop_headers(response.raw_headers)
         self.not_run = (
@@ -115,8 +122,14 @@
         )
 
     async def read_body(self) -> bytes:
-        """Return the complete body; raises UpstreamError if truncated."""
-        return b"".join([chunk async for chunk in self.iter_chunks()])
+        """Return the complete body.
+
+        Raises UpstreamError if it is truncated or too large.
+        """
+        try:
+            return await self._buffer.read_body(self._response)
+        except HttpError as error:
+            raise UpstreamError(f"response was cut off: {error}") from error
 
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks; raises UpstreamError if truncated."""
@@ -127,7 +140,10 @@
             raise UpstreamError(f"response was truncated: {error}") from error
 
     async def iter_events(self) -> AsyncIterator[StreamEvent]:
-        """Yield complete events; raises UpstreamError if truncated."""
+        """Yield complete events.
+
+        Raises UpstreamError if the stream is truncated or an event too large.
+        """
         buffer = b""
         async for chunk in self.iter_chunks():
             *blocks, buffer = (buffer + chunk).split(b"\n\n")
@@ -135,6 +151,8 @@
                 event = _read_event(block)
                 if event is not None:
                     yield event
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise UpstreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         if buffer.strip():
             raise UpstreamError("stream ended within an event")
 
@@ -145,6 +163,7 @@
     def __init__(self) -> None:
         """Set up without connections or a listener."""
         self._pools: dict[str, HttpPool] = {}
+        self._buffer = ReceiveBuffer()
         self.report_leaving: Callable[[ListedInstance], None] = (
             lambda instance: None
         )
@@ -175,7 +194,7 @@
                 self._read_announcements(
                     instance, response.status, response.headers, sent_at
                 )
-                yield PlatformResponse(response)
+                yield PlatformResponse(response, self._buffer)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
         except HttpError as error:
@@ -202,7 +221,11 @@
         try:
             with trio.fail_after(ORDER_TIMEOUT_S):
                 response = await pool.fetch(
-                    "POST", const.PATH_ORDER, headers, body
+                    "POST",
+                    const.PATH_ORDER,
+                    headers,
+                    body,
+                    max_bytes=MAX_REPORT_BYTES,
                 )
         except ConnectError:
             return LoadOrderOutcome.REFUSED
@@ -222,7 +245,12 @@
         sent_at = trio.current_time()
         try:
             with trio.fail_after(REPORT_TIMEOUT_S):
-                response = await pool.fetch("GET", const.PATH_REPORT, headers)
+                response = await pool.fetch(
+                    "GET",
+                    const.PATH_REPORT,
+                    headers,
+                    max_bytes=MAX_REPORT_BYTES,
+                )
             self._read_announcements(
                 instance, response.status, response.headers, sent_at
             )
