Let scoring calls use the slots that limits can keep busy

With lampu-app at x = 0.1, callers were late (book-pickup 4 to 7 of 93 to 99, p99 322 to 356 ms, aim 192): scoring calls were admitted by all slots of the upstream, of which the limits leave a few, and filled the only instance without limit. Slots now count as far as an instance's limit and the duration of its calls can keep them busy.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -52,6 +52,8 @@
       | urgent calls queue for as long as they may |
       | a refused call that asks again in time is served |
       | the end of a limit counts more than older knowledge |
+      | a limit leaves work for some slots only |
+      | an instance that takes nothing has a slot to try it |
       | another lifetime has permits of its own |
       | refused callers come back when an instance is expected         |
       | refused callers come back later in a long outage               |
--- a/features/support/permit_cases.py
+++ b/features/support/permit_cases.py
@@ -9,6 +9,7 @@
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.limits.keeper import PermitKeeper
 from pistachiospar.limits.messages import PermitCall
+from pistachiospar.limits.permits import count_usable_slots
 from pistachiospar.limits.permits import PermitBucket
 
 URGENT = 0
@@ -144,6 +145,16 @@
         end_limit,
         [(True, 1.0), (False, 1.0), (True, None), (True, None)],
     ),
+    "a limit leaves work for some slots only": (
+        lambda: [
+            count_usable_slots(6, limit, 0.1) for limit in (None, 1.3, 25, 900)
+        ],
+        [6, 1, 3, 6],
+    ),
+    "an instance that takes nothing has a slot to try it": (
+        lambda: count_usable_slots(6, 0.0, 0.1),
+        1,
+    ),
     "another lifetime has permits of its own": (
         change_lifetime,
         [(True, 1.0), (False, 1.0), (True, 1.0)],
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -14,6 +14,7 @@
 from ..crashes.table import Judgement
 from ..crashes.table import Standing
 from ..limits.coordinator import InstanceLimits
+from ..limits.permits import count_usable_slots
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
 from ..ports.sampler import SamplerResponse
@@ -230,7 +231,12 @@
         """Return how many calls a route's instances run at once."""
         now = trio.current_time()
         return sum(
-            instance.slots
+            count_usable_slots(
+                instance.slots,
+                self._limits.find_limit(instance),
+                self._health.get_state(instance.name).mean_duration_s
+                or const.DEFAULT_DURATION_S,
+            )
             for share in route.shares
             for instance in self._find_instances(share.upstream, now)
         )
--- a/packages/pistachiospar/src/pistachiospar/limits/permits.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/permits.py
@@ -6,10 +6,24 @@
 """
 
 from dataclasses import dataclass
+import math
 
 from . import const
 
 
+def count_usable_slots(
+    slots: int, limit_per_s: float | None, duration_s: float
+) -> int:
+    """Return how many slots of an instance calls can keep busy.
+
+    `duration_s` is how long a call takes there. Without a limit that is all,
+    with one at least a single slot.
+    """
+    if limit_per_s is None:
+        return slots
+    return max(1, min(slots, math.ceil(limit_per_s * duration_s)))
+
+
 @dataclass(frozen=True, slots=True)
 class PermitDecision:
     """A permit for a call after `wait_s`, or when to ask again."""
