Survive series of signals; soak callers that keep their connections

Cause: each process took SIGTERM with a receiver that it closed on the first one, so a second one ended it in the middle of its shutdown; SIGHUP, before the gateway's handler was there, ended its start.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,6 +1,7 @@
 """Soak test of gateway processes under faults injected from outside.
 
 python -m bench.soak --seeds 50 [--first 0] [--seconds 12]
+    [--series] [--gateways 3]
 
 The store and the samplers are stand-ins in this process. Each gateway is a
 process of its own and reaches the store through a loopback proxy. Gateways
@@ -8,6 +9,10 @@
 resets and refuses connections; instances crash, cut streams and slow down.
 What callers and instances saw is checked as in features/submissions.feature.
 
+With --series, signals, restarts and changes of the configuration hit the same
+gateway one after the other and overlap, and callers use their connections
+until the process is gone.
+
 A run takes its IP addresses by its process id, so that several may run at
 once, and ends only the processes that it started.
 """
@@ -40,6 +45,8 @@
 from pistachiospar_standins.platform.store import PlatformStoreHandler
 import trio
 
+from .soak_callers import KeptConnections
+
 sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
 
 from support.submission_checks import check_load_orders  # noqa: E402
@@ -133,7 +140,8 @@
         """Write settings and logs into the folder; start nothing yet."""
         super().__init__(plan)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.faults = {f"g{n}": ProxyFaults() for n in range(GATEWAY_COUNT)}
+        self.faults = {f"g{n}": ProxyFaults() for n in range(plan.gateways)}
+        self.kept = KeptConnections()
         self._folder = folder
         self._addresses: dict[str, Address] = {}
         self._handler = PlatformStoreHandler()
@@ -168,7 +176,10 @@
                 nursery.cancel_scope.cancel()
 
     def start_process(self, name: str) -> None:
-        """Start a gateway's process; its output goes to its log file."""
+        """Start a gateway's process, unless it runs, with a log file."""
+        running = self.processes.get(name)
+        if running is not None and running.poll() is None:
+            return
         log_file = open(self._folder / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
             [sys.executable, "-m", "pistachiospar.cli", "gateway"]
@@ -178,6 +189,14 @@
             env=dict(os.environ),
         )
 
+    async def call_kept(self, is_over: Callable[[], bool]) -> None:
+        """Call all gateways over kept connections."""
+        async with trio.open_nursery() as nursery:
+            for name, address in self._addresses.items():
+                nursery.start_soon(
+                    self.kept.call_gateway, name, address, is_over
+                )
+
     async def send_request(
         self,
         gateway: str,
@@ -246,10 +265,12 @@
 async def kill_and_restart(fleet: SoakFleet, name: str, rng: Random) -> None:
     """Kill a gateway and restart it within 2 s."""
     process = fleet.processes[name]
+    killed_at = trio.current_time()
     process.kill()
     await trio.to_thread.run_sync(process.wait)
     await trio.sleep(rng.uniform(0.1, 2.0))
     fleet.start_process(name)
+    fleet.kept.record_harm(name, killed_at, trio.current_time())
 
 
 async def terminate_and_restart(
@@ -265,9 +286,11 @@
 async def suspend(fleet: SoakFleet, name: str, rng: Random) -> None:
     """Suspend a gateway's process for 0.5 to 6 s."""
     process = fleet.processes[name]
+    suspended_at = trio.current_time()
     process.send_signal(signal.SIGSTOP)
     await trio.sleep(rng.uniform(0.5, 6.0))
     process.send_signal(signal.SIGCONT)
+    fleet.kept.record_harm(name, suspended_at, trio.current_time())
 
 
 async def disturb_store_link(fleet: SoakFleet, name: str, rng: Random) -> None:
@@ -288,6 +311,30 @@
     faults.delay_s = 0.0
 
 
+async def hang_up(fleet: SoakFleet, name: str, rng: Random) -> None:
+    """Send SIGHUP a few times."""
+    for _ in range(rng.randint(1, 4)):
+        fleet.processes[name].send_signal(signal.SIGHUP)
+        await trio.sleep(rng.uniform(0.0, 0.5))
+
+
+async def terminate_twice(fleet: SoakFleet, name: str, rng: Random) -> None:
+    """Send SIGTERM again while the gateway drains, then restart it."""
+    process = fleet.processes[name]
+    process.send_signal(signal.SIGTERM)
+    await trio.sleep(rng.uniform(0.0, 2.0))
+    process.send_signal(signal.SIGTERM)
+    await trio.to_thread.run_sync(process.wait)
+    fleet.start_process(name)
+
+
+async def change_routes(fleet: SoakFleet, name: str, rng: Random) -> None:
+    """Write several versions of the configuration."""
+    for _ in range(rng.randint(1, 5)):
+        fleet.write_configuration()
+        await trio.sleep(rng.uniform(0.0, 0.5))
+
+
 FAULTS = [
     kill_and_restart,
     kill_and_restart,
@@ -298,6 +345,33 @@
 ]
 
 
+SERIES_FAULTS = [
+    *FAULTS,
+    terminate_and_restart,
+    terminate_and_restart,
+    terminate_twice,
+    hang_up,
+    hang_up,
+    change_routes,
+]
+
+
+async def inject_series(
+    fleet: SoakFleet, rng: Random, seconds: float, run: ScenarioRun
+) -> None:
+    """Inject series of faults; those of one gateway overlap too."""
+    until = trio.current_time() + seconds
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < until:
+            name = f"g{rng.randrange(fleet.plan.gateways)}"
+            for _ in range(rng.randint(1, 4)):
+                fault = rng.choice(SERIES_FAULTS)
+                run.faults.append(f"{fault.__name__} {name}")
+                nursery.start_soon(fault, fleet, name, rng)
+                await trio.sleep(rng.uniform(0.0, 1.0))
+            await trio.sleep(rng.uniform(0.2, 2.0))
+
+
 async def inject_faults(
     fleet: SoakFleet, rng: Random, seconds: float, run: ScenarioRun
 ) -> None:
@@ -314,7 +388,7 @@
     async with trio.open_nursery() as nursery:
         while trio.current_time() < until:
             await trio.sleep(rng.uniform(0.2, 2.0))
-            name = f"g{rng.randrange(GATEWAY_COUNT)}"
+            name = f"g{rng.randrange(fleet.plan.gateways)}"
             if rng.random() < 0.3:
                 nursery.start_soon(degrade_sampler, fleet, rng)
             elif name not in busy:
@@ -323,16 +397,22 @@
 
 
 async def soak_gateways(
-    seed: int, seconds: float, folder: Path
+    seed: int, seconds: float, folder: Path, series: bool, gateways: int
 ) -> ScenarioRun:
     """Run trainers under faults, then check what they saw."""
     rng = Random(seed)
     run = ScenarioRun(seed)
-    plan = GatewayPlan(gateways=GATEWAY_COUNT, seed=seed)
+    plan = GatewayPlan(gateways=gateways, seed=seed)
     fleet = SoakFleet(plan, folder)
     async with fleet.serve():
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(inject_faults, fleet, rng, seconds, run)
+            inject = inject_series if series else inject_faults
+            nursery.start_soon(inject, fleet, rng, seconds, run)
+            if series:
+                over_at = trio.current_time() + seconds
+                nursery.start_soon(
+                    fleet.call_kept, lambda: trio.current_time() > over_at
+                )
             for model in plan.models:
                 nursery.start_soon(run_trainer, fleet, model, rng, run)
         for sampler in fleet.cluster.samplers.values():
@@ -344,16 +424,26 @@
             await read_all_results(fleet, history, rng)
             run.violations.extend(check_submission(fleet, history))
         run.violations.extend(check_load_orders(fleet))
+        run.violations.extend(fleet.kept.find_violations(fleet.cluster.runs))
+        if series:
+            run.faults.append(f"{fleet.kept.answered} answered on kept")
         run.committed_count = sum(
             len(history.results) for history in run.histories
         )
     return run
 
 
-def run_soak(seed: int, seconds: float) -> ScenarioRun:
+def run_soak(
+    seed: int,
+    seconds: float,
+    series: bool = False,
+    gateways: int = GATEWAY_COUNT,
+) -> ScenarioRun:
     """Run one seed; keep the logs in run/ if a guarantee is violated."""
     with TemporaryDirectory() as folder:
-        run = trio.run(soak_gateways, seed, seconds, Path(folder))
+        run = trio.run(
+            soak_gateways, seed, seconds, Path(folder), series, gateways
+        )
         if run.violations:
             log_folder = Path("run") / f"soak-{seed}"
             log_folder.mkdir(parents=True, exist_ok=True)
@@ -368,10 +458,12 @@
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--series", action="store_true")
+    parser.add_argument("--gateways", type=int, default=GATEWAY_COUNT)
     options = parser.parse_args()
     failed_seeds = 0
     for seed in range(options.first, options.first + options.seeds):
-        run = run_soak(seed, options.seconds)
+        run = run_soak(seed, options.seconds, options.series, options.gateways)
         failed_seeds += bool(run.violations)
         print(
             f"seed {seed}: {run.committed_count} committed, "
--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -7,6 +7,7 @@
 
 import gc
 import os.path
+import signal
 import socket
 import sys
 
@@ -56,4 +57,6 @@
 
 
 if __name__ == "__main__":
+    # The gateway receives it once its own handler is there.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(run(replace_address(sys.argv[1:])))
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,3 +5,7 @@
   Scenario: one seed
     When gateways are soaked for 6 s with seed 7
     Then what callers and instances saw violates no guarantee
+
+  Scenario: one seed, faults in series, callers that keep their connections
+    When gateways are soaked in series for 6 s with seed 11
+    Then what callers and instances saw violates no guarantee
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,12 @@
     context.run_result = run_soak(seed, seconds)
 
 
+@when("gateways are soaked in series for {seconds:g} s with seed {seed:d}")
+def run_series(context: Context, seconds: float, seed: int) -> None:
+    """Run one seed whose faults overlap, with kept connections."""
+    context.run_result = run_soak(seed, seconds, series=True)
+
+
 @then("what callers and instances saw violates no guarantee")
 def check_soak(context: Context) -> None:
     """Check the guarantees, and that some results were committed."""
--- a/features/steps/start_steps.py
+++ b/features/steps/start_steps.py
@@ -27,6 +27,24 @@
     assert context.start.response.startswith(b"HTTP/1.1 503"), context.start
 
 
+@when("a gateway gets SIGHUP while it starts")
+def hang_up(context: Context) -> None:
+    """Send the signal during the imports."""
+    context.passed = start_cases.hang_up_during_start()
+
+
+@when("a gateway gets a second SIGTERM while it drains")
+def terminate_twice(context: Context) -> None:
+    """Send the signals."""
+    context.passed = start_cases.terminate_twice()
+
+
+@then("it goes on to its end")
+def check_passed(context: Context) -> None:
+    """Check that the signal ended nothing."""
+    assert context.passed
+
+
 @when("the modules are listed that load before the port is open")
 def list_modules(context: Context) -> None:
     """List the modules in a fresh interpreter."""
--- a/features/support/start_cases.py
+++ b/features/support/start_cases.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 import json
 from pathlib import Path
+import signal
 import socket
 import subprocess
 import sys
@@ -112,6 +113,33 @@
             return StartRecord(connected_s, started_s, caller.recv(4096))
 
 
+def read_until(process: subprocess.Popen[bytes], event: bytes) -> bool:
+    """Read the log up to an event; return whether it came."""
+    assert process.stdout is not None
+    return any(b'"%s"' % event in line for line in process.stdout)
+
+
+def hang_up_during_start() -> bool:
+    """Send SIGHUP once the port is open; return whether the start goes on."""
+    port = find_free_port()
+    with launch_gateway(port) as process:
+        connect(port, time.monotonic() + START_TIMEOUT_S).close()
+        process.send_signal(signal.SIGHUP)
+        return read_until(process, b"started")
+
+
+def terminate_twice() -> bool:
+    """Send SIGTERM twice; return whether the gateway drains to its end."""
+    with launch_gateway(find_free_port()) as process:
+        assert read_until(process, b"started")
+        process.send_signal(signal.SIGTERM)
+        assert read_until(process, b"draining")
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGINT)
+        is_drained = read_until(process, b"stopped")
+        return is_drained and process.wait(START_TIMEOUT_S) == 0
+
+
 def connect(port: int, until: float) -> socket.socket:
     """Connect to a loopback port, trying until a monotonic time."""
     while True:
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/__main__.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/__main__.py
@@ -10,7 +10,7 @@
 from pistachiospar.const import EXIT_BAD_INPUT
 from pistachiospar.helpers.jsonc import read_document
 from pistachiospar.process.listening import serve_http
-from pistachiospar.process.listening import wait_for_stop
+from pistachiospar.process.listening import watch_stop
 from result import Err
 import trio
 
@@ -76,9 +76,11 @@
 async def serve(handler: Handler, address: str) -> None:
     """Serve until a stop signal arrives."""
     server = HttpServer(handler)
+    stopped = trio.Event()
     async with trio.open_nursery() as nursery:
+        await nursery.start(watch_stop, stopped)
         await nursery.start(serve_http, server, parse_address(address))
-        await wait_for_stop()
+        await stopped.wait()
         nursery.cancel_scope.cancel()
 
 
--- a/packages/pistachiospar/src/pistachiospar/entry/process.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/process.py
@@ -24,7 +24,7 @@
 from ..process.const import GC_THRESHOLD
 from ..process.const import STOP_DELAY_S
 from ..process.listening import serve_http
-from ..process.listening import wait_for_stop
+from ..process.listening import watch_stop
 from ..settings.models import EntrySettings
 from ..telemetry.exporter import MetricsExporter
 from ..telemetry.logs import log_event
@@ -89,7 +89,9 @@
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         settings = self._settings
+        stopped = trio.Event()
         async with trio.open_nursery() as nursery:
+            await nursery.start(watch_stop, stopped)
             await nursery.start(
                 serve_http, self._admin, settings.process.admin
             )
@@ -97,7 +99,7 @@
             await nursery.start(serve_http, self._peer_server, settings.peer)
             await nursery.start(serve_http, self._server, settings.listen)
             log_event("started")
-            await wait_for_stop()
+            await stopped.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -23,7 +23,7 @@
 from ..process.const import DRAIN_POLL_INTERVAL_S
 from ..process.listening import serve_http
 from ..process.listening import serve_open_socket
-from ..process.listening import wait_for_stop
+from ..process.listening import watch_stop
 from ..telemetry.logs import log_event
 from .coordinator import GatewayCoordinator
 from .diagnostics import dump_gateway
@@ -95,7 +95,10 @@
         gc.set_threshold(const.GC_THRESHOLD)
         gc.enable()
         settings = self._settings
+        stopped = trio.Event()
         async with trio.open_nursery() as nursery:
+            await nursery.start(watch_stop, stopped)
+            await nursery.start(watch_settings, settings)
             if settings.ready is not None:
                 await nursery.start(
                     serve_http, self._ready_server, settings.ready
@@ -109,9 +112,8 @@
             elif settings.listen is not None:
                 await nursery.start(serve_http, self._server, settings.listen)
             nursery.start_soon(self._serve_admin)
-            nursery.start_soon(watch_settings, settings)
             log_event("started", zone=settings.zone)
-            await wait_for_stop()
+            await stopped.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/reload.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/reload.py
@@ -13,7 +13,11 @@
 from ..telemetry.logs import log_event
 
 
-async def watch_settings(settings: GatewaySettings) -> None:
+async def watch_settings(
+    settings: GatewaySettings,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Read the settings again on SIGHUP and when the file changed.
 
     A running gateway doesn't apply changes. It only logs them, and a file
@@ -22,6 +26,7 @@
     file = find_settings_file()
     seen_at = _read_change_time(file)
     with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        task_status.started()
         while True:
             signalled = False
             with trio.move_on_after(const.SETTINGS_POLL_INTERVAL_S):
--- a/packages/pistachiospar/src/pistachiospar/process/listening.py
+++ b/packages/pistachiospar/src/pistachiospar/process/listening.py
@@ -7,6 +7,7 @@
 
 from ..adapters.http.client import Address
 from ..adapters.http.server import HttpServer
+from ..telemetry.logs import log_event
 from .const import LISTEN_BACKLOG
 
 
@@ -32,8 +33,18 @@
     await trio.serve_listeners(server.handle_connection, [listener])
 
 
-async def wait_for_stop() -> None:
-    """Return on SIGTERM or SIGINT."""
+async def watch_stop(
+    stopped: trio.Event,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Set `stopped` on SIGTERM or SIGINT, until cancelled.
+
+    Further ones are ignored: they would end a shutdown that is under way.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+        task_status.started()
+        async for number in signals:
+            if stopped.is_set():
+                log_event("signal_ignored", number=number)
+            stopped.set()
--- a/packages/pistachiospar/src/pistachiospar/sidecar/process.py
+++ b/packages/pistachiospar/src/pistachiospar/sidecar/process.py
@@ -21,7 +21,7 @@
 from ..process.const import GC_THRESHOLD
 from ..process.const import STOP_DELAY_S
 from ..process.listening import serve_http
-from ..process.listening import wait_for_stop
+from ..process.listening import watch_stop
 from ..settings.models import SidecarSettings
 from ..telemetry.exporter import MetricsExporter
 from ..telemetry.logs import log_event
@@ -78,7 +78,9 @@
         gc.freeze()
         gc.set_threshold(GC_THRESHOLD)
         settings = self._settings
+        stopped = trio.Event()
         async with trio.open_nursery() as nursery:
+            await nursery.start(watch_stop, stopped)
             await nursery.start(self.coordinator.run_tasks)
             await nursery.start(serve_http, self._server, settings.data)
             await nursery.start(
@@ -88,7 +90,7 @@
                 serve_http, self._admin, settings.process.admin
             )
             log_event("started", incarnation=self.coordinator.incarnation)
-            await wait_for_stop()
+            await stopped.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
 
