--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,8 +22,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from dataclasses import field
 import os
 from pathlib import Path
 from random import Random
@@ -46,6 +44,10 @@
 import trio
 
 from .soak_callers import KeptConnections
+from .soak_faults import FAULTS
+from .soak_faults import SERIES_FAULTS
+from .soak_proxy import ProxyFaults
+from .soak_proxy import StoreProxy
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "features"))
 
@@ -65,74 +67,6 @@
 REQUEST_TIMEOUT_S = 13.0
 
 
-@dataclass(slots=True)
-class ProxyFaults:
-    """Faults of a proxy, applied to all its connections."""
-
-    refusing: bool = False
-    stalled: bool = False
-    delay_s: float = 0.0
-    connection_scopes: set[trio.CancelScope] = field(default_factory=set)
-
-    def reset_connections(self) -> None:
-        """Close all open connections."""
-        for scope in list(self.connection_scopes):
-            scope.cancel()
-
-
-class StoreProxy:
-    """TCP proxy between a gateway and the store."""
-
-    def __init__(self, target: Address, faults: ProxyFaults) -> None:
-        """Forward to the target address under these faults."""
-        self._target = target
-        self._faults = faults
-
-    async def handle(self, stream: trio.SocketStream) -> None:
-        """Forward one connection until either side closes it."""
-        with trio.CancelScope() as scope:
-            self._faults.connection_scopes.add(scope)
-            try:
-                if not self._faults.refusing:
-                    await self._forward_connection(stream)
-            finally:
-                self._faults.connection_scopes.discard(scope)
-        stream.socket.close()
-
-    async def _forward_connection(self, stream: trio.SocketStream) -> None:
-        store_stream = await trio.open_tcp_stream(
-            self._target.host, self._target.port
-        )
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    self._forward_bytes, stream, store_stream, nursery
-                )
-                nursery.start_soon(
-                    self._forward_bytes, store_stream, stream, nursery
-                )
-        finally:
-            store_stream.socket.close()
-
-    async def _forward_bytes(
-        self,
-        source: trio.SocketStream,
-        destination: trio.SocketStream,
-        nursery: trio.Nursery,
-    ) -> None:
-        """Forward one direction; its end cancels the other one."""
-        try:
-            async for data in source:
-                while self._faults.stalled:
-                    await trio.sleep(0.05)
-                if self._faults.delay_s:
-                    await trio.sleep(self._faults.delay_s)
-                await destination.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-        nursery.cancel_scope.cancel()
-
-
 class SoakFleet(GatewayFleet):
     """Gateways as processes; the store and samplers stay in this one."""
 
@@ -262,100 +196,6 @@
     return Address("127.0.0.1", port)
 
 
-async def kill_and_restart(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Kill a gateway and restart it within 2 s."""
-    process = fleet.processes[name]
-    killed_at = trio.current_time()
-    process.kill()
-    await trio.to_thread.run_sync(process.wait)
-    await trio.sleep(rng.uniform(0.1, 2.0))
-    fleet.start_process(name)
-    fleet.kept.record_harm(name, killed_at, trio.current_time())
-
-
-async def terminate_and_restart(
-    fleet: SoakFleet, name: str, rng: Random
-) -> None:
-    """Stop a gateway with SIGTERM, then restart it."""
-    process = fleet.processes[name]
-    process.send_signal(signal.SIGTERM)
-    await trio.to_thread.run_sync(process.wait)
-    fleet.start_process(name)
-
-
-async def suspend(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Suspend a gateway's process for 0.5 to 6 s."""
-    process = fleet.processes[name]
-    suspended_at = trio.current_time()
-    process.send_signal(signal.SIGSTOP)
-    await trio.sleep(rng.uniform(0.5, 6.0))
-    process.send_signal(signal.SIGCONT)
-    fleet.kept.record_harm(name, suspended_at, trio.current_time())
-
-
-async def disturb_store_link(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Make a gateway's proxy refuse, stall, delay or reset connections."""
-    faults = fleet.faults[name]
-    match rng.randint(0, 3):
-        case 0:
-            faults.refusing = True
-            faults.reset_connections()
-        case 1:
-            faults.stalled = True
-        case 2:
-            faults.delay_s = rng.uniform(0.05, 0.5)
-        case _:
-            faults.reset_connections()
-    await trio.sleep(rng.uniform(0.5, 5.0))
-    faults.refusing = faults.stalled = False
-    faults.delay_s = 0.0
-
-
-async def hang_up(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Send SIGHUP a few times."""
-    for _ in range(rng.randint(1, 4)):
-        fleet.processes[name].send_signal(signal.SIGHUP)
-        await trio.sleep(rng.uniform(0.0, 0.5))
-
-
-async def terminate_twice(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Send SIGTERM again while the gateway drains, then restart it."""
-    process = fleet.processes[name]
-    process.send_signal(signal.SIGTERM)
-    await trio.sleep(rng.uniform(0.0, 2.0))
-    process.send_signal(signal.SIGTERM)
-    await trio.to_thread.run_sync(process.wait)
-    fleet.start_process(name)
-
-
-async def change_routes(fleet: SoakFleet, name: str, rng: Random) -> None:
-    """Write several versions of the configuration."""
-    for _ in range(rng.randint(1, 5)):
-        fleet.write_configuration()
-        await trio.sleep(rng.uniform(0.0, 0.5))
-
-
-FAULTS = [
-    kill_and_restart,
-    kill_and_restart,
-    terminate_and_restart,
-    suspend,
-    disturb_store_link,
-    disturb_store_link,
-]
-
-
-SERIES_FAULTS = [
-    *FAULTS,
-    terminate_and_restart,
-    terminate_and_restart,
-    terminate_twice,
-    hang_up,
-    hang_up,
-    change_routes,
-]
-
-
 async def inject_series(
     fleet: SoakFleet, rng: Random, seconds: float, run: ScenarioRun
 ) -> None:
--- /dev/null
+++ b/features/support/response_cases.py
@@ -0,0 +1,51 @@
+"""Bytes of samplers' responses, and what gateways are to read of them."""
+
+from dataclasses import dataclass
+
+
+def make_response(
+    call_id: str, body: bytes, status: str = "200 OK", extra: str = ""
+) -> bytes:
+    """Return the bytes of a complete response with a length."""
+    head = (
+        f"HTTP/1.1 {status}\r\nRequest-Id: {call_id}\r\n"
+        f"Response-Stamp: s\r\nWeight-Versions: 4\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def make_stream(*parts: bytes, end: bool = True) -> bytes:
+    """Return the bytes of a chunked stream, with or without its end."""
+    head = (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nResponse-Stamp: s\r\n"
+        b"Weight-Versions: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts)
+    return head + body + (b"0\r\n\r\n" if end else b"")
+
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nResponse-Stamp: s\r\n\r\n"
+TWO_EVENTS = (b"id: 1\ndata: a\n\nid: 2\nda", b"ta: b\n\n")
+CHANGED = (b"id: 1\ndata: a\n\n", b"weight-versions: 5\nid: 2\ndata: b\n\n")
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseCase:
+    """The responses of a sampler and the results that are expected.
+
+    After each response the sampler resets or closes the connection if
+    `is_reset` or `is_closed` says so; `endless` is sent after it until the
+    gateway closes the connection. The calls are made one after the other, on
+    the same connection where that is safe.
+    """
+
+    responses: tuple[bytes, ...]
+    expected: list[str]
+    connections: int = 1
+    is_reset: bool = False
+    is_closed: bool = False
+    calls: int = 1
+    is_stream: bool = False
+    operation: str = "call"
+    endless: bytes = b""
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -16,7 +16,14 @@
 from result import Err
 import trio
 
+from .endless_responses import ENDLESS_CASES
 from .kv_contract import serve_loopback
+from .response_cases import CHANGED
+from .response_cases import make_response
+from .response_cases import make_stream
+from .response_cases import ResponseCase
+from .response_cases import TWO_EVENTS
+from .response_cases import UNFRAMED
 
 TIMEOUT_S = 10.0
 ENDLESS_BLOCK_BYTES = 65_536
@@ -24,54 +31,6 @@
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 
 
-def make_response(
-    call_id: str, body: bytes, status: str = "200 OK", extra: str = ""
-) -> bytes:
-    """Return the bytes of a complete response with a length."""
-    head = (
-        f"HTTP/1.1 {status}\r\nRequest-Id: {call_id}\r\n"
-        f"Response-Stamp: s\r\nWeight-Versions: 4\r\n{extra}"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-def make_stream(*parts: bytes, end: bool = True) -> bytes:
-    """Return the bytes of a chunked stream, with or without its end."""
-    head = (
-        b"HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nResponse-Stamp: s\r\n"
-        b"Weight-Versions: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
-    )
-    body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts)
-    return head + body + (b"0\r\n\r\n" if end else b"")
-
-
-UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nResponse-Stamp: s\r\n\r\n"
-TWO_EVENTS = (b"id: 1\ndata: a\n\nid: 2\nda", b"ta: b\n\n")
-CHANGED = (b"id: 1\ndata: a\n\n", b"weight-versions: 5\nid: 2\ndata: b\n\n")
-
-
-@dataclass(frozen=True, slots=True)
-class ResponseCase:
-    """The responses of a sampler and the results that are expected.
-
-    After each response the sampler resets or closes the connection if
-    `is_reset` or `is_closed` says so; `endless` is sent after it until the
-    gateway closes the connection. The calls are made one after the other, on
-    the same connection where that is safe.
-    """
-
-    responses: tuple[bytes, ...]
-    expected: list[str]
-    connections: int = 1
-    is_reset: bool = False
-    is_closed: bool = False
-    calls: int = 1
-    is_stream: bool = False
-    operation: str = "call"
-    endless: bytes = b""
-
-
 LEAVING = "Server-Leaving: 1\r\n"
 LEAVING_STREAM = make_stream(b"id: 1\ndata: a\n\n").replace(
     b"\r\n", b"\r\n" + LEAVING.encode(), 1
@@ -201,49 +160,7 @@
         ["limit 4.0", "idle"],
         operation="report",
     ),
-    "a head without end": ResponseCase(
-        (b"HTTP/1.1 200 OK\r\n",), ["may have run"], endless=b"X-A: b\r\n"
-    ),
-    "a header without end": ResponseCase(
-        (b"HTTP/1.1 200 OK\r\nX-A: ",), ["may have run"], endless=b"b"
-    ),
-    "a status line without end": ResponseCase(
-        (b"HTTP/1.1 200 O",), ["may have run"], endless=b"K"
-    ),
-    "informational responses without end": ResponseCase(
-        (b"HTTP/1.1 100 Continue\r\n\r\n",),
-        ["may have run"],
-        endless=b"HTTP/1.1 100 Continue\r\n\r\n",
-    ),
-    "a body without end or length": ResponseCase(
-        (UNFRAMED,), ["may have run"], endless=b"no answer "
-    ),
-    "chunks without end": ResponseCase(
-        (make_stream(end=False),), ["may have run"], endless=b"3\r\nabc\r\n"
-    ),
-    "a refusal without end": ResponseCase(
-        (
-            b"HTTP/1.1 503 Full\r\nRequest-Id: c1\r\nNot-Executed: 1\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n",
-        ),
-        ["may have run"],
-        endless=b"3\r\nabc\r\n",
-    ),
-    "an event without end": ResponseCase(
-        (make_stream(TWO_EVENTS[0], end=False),),
-        ["4: 1 a", "may have run"],
-        is_stream=True,
-        endless=b"3\r\nabc\r\n",
-    ),
-    "an order's response without end": ResponseCase(
-        (UNFRAMED.replace(b"200 OK", b"202 Accepted"),),
-        ["unknown"],
-        operation="order",
-        endless=b"no answer ",
-    ),
-    "a report without end": ResponseCase(
-        (UNFRAMED,), ["no report"], operation="report", endless=b"no answer "
-    ),
+    **ENDLESS_CASES,
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
     ),
--- /dev/null
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
@@ -0,0 +1,108 @@
+"""Faults of the fakes of instances, records of what reached them."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from pistachiospar.adapters.http.models import Headers
+from pistachiospar.ports.sampler import InstanceLoad
+from pistachiospar.ports.sampler import StreamEvent
+
+
+@dataclass(slots=True)
+class SamplerFaults:
+    """The faults of one instance; shares are probabilities from 0 to 1.
+
+    `slow_factor` multiplies the durations of calls. `truncated_share` is drawn
+    for each event and plain response, `error_share` for each call, and
+    `lost_order_share` for each load order: its reply is lost, and the order is
+    applied later. One that is `leaving` says so and serves on. `limit_per_s`
+    is the limit that it names in its responses; it serves on beyond it.
+    """
+
+    down: bool = False
+    slow_factor: float = 1.0
+    truncated_share: float = 0.0
+    lost_order_share: float = 0.0
+    error_share: float = 0.0
+    leaving: bool = False
+    limit_per_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRecord:
+    """A load order as it arrived; the time is in seconds.
+
+    `fence_valid` is false for a token older than the instance's newest.
+    """
+
+    received_at: float
+    instance: str
+    gateway: str
+    fence: int
+    fence_valid: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """The start of a run; the time is in seconds."""
+
+    started_at: float
+    call_id: str
+    instance: str
+    gateway: str
+
+
+@dataclass(frozen=True, slots=True)
+class ArrivalRecord:
+    """A call, order or report as it arrived; the time is in seconds."""
+
+    arrived_at: float
+    instance: str
+    gateway: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """The crash of an instance under a call; the time is in seconds."""
+
+    crashed_at: float
+    instance: str
+    gateway: str
+    body: bytes
+
+
+class FakeResponse:
+    """The response to one call."""
+
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b"",
+        not_run: bool = False,
+        stamp: str = "",
+        version: int | None = None,
+        events: AsyncIterator[StreamEvent] | None = None,
+    ) -> None:
+        """Create a response with a body, or a stream of `events`."""
+        self.status = status
+        self.headers: Headers = []
+        self.not_run = not_run
+        self.stamp = stamp
+        self.version = version
+        self.load: InstanceLoad | None = None
+        self._body = body
+        self._events = events
+
+    async def read_body(self) -> bytes:
+        """Return the complete body."""
+        return self._body
+
+    async def iter_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body."""
+        yield self._body
+
+    async def iter_events(self) -> AsyncIterator[StreamEvent]:
+        """Yield the events."""
+        assert self._events is not None
+        async for event in self._events:
+            yield event
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -11,8 +11,6 @@
 from dataclasses import field
 from random import Random
 
-from pistachiospar.adapters.http.models import Headers
-from pistachiospar.ports.sampler import InstanceLoad
 from pistachiospar.ports.sampler import LimitListener
 from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import LoadOrderOutcome
@@ -29,6 +27,13 @@
 import trio
 import xxhash
 
+from .sampler_records import ArrivalRecord
+from .sampler_records import CrashRecord
+from .sampler_records import FakeResponse
+from .sampler_records import OrderRecord
+from .sampler_records import RunRecord
+from .sampler_records import SamplerFaults
+
 EVENT_INTERVAL_S = 0.03
 LOAD_DURATION_S = 0.9
 MAX_ORDER_DELAY_S = 4.0
@@ -39,26 +44,6 @@
 STREAMED_PREFIXES = ("/rollout/", "/stream/")
 
 
-@dataclass(slots=True)
-class SamplerFaults:
-    """The faults of one instance; shares are probabilities from 0 to 1.
-
-    `slow_factor` multiplies the durations of calls. `truncated_share` is drawn
-    for each event and plain response, `error_share` for each call, and
-    `lost_order_share` for each load order: its reply is lost, and the order is
-    applied later. One that is `leaving` says so and serves on. `limit_per_s`
-    is the limit that it names in its responses; it serves on beyond it.
-    """
-
-    down: bool = False
-    slow_factor: float = 1.0
-    truncated_share: float = 0.0
-    lost_order_share: float = 0.0
-    error_share: float = 0.0
-    leaving: bool = False
-    limit_per_s: float | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class SamplerSpeed:
     """The speed of an instance; times are in seconds.
@@ -90,49 +75,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class OrderRecord:
-    """A load order as it arrived; the time is in seconds.
-
-    `fence_valid` is false for a token older than the instance's newest.
-    """
-
-    received_at: float
-    instance: str
-    gateway: str
-    fence: int
-    fence_valid: bool
-
-
-@dataclass(frozen=True, slots=True)
-class RunRecord:
-    """The start of a run; the time is in seconds."""
-
-    started_at: float
-    call_id: str
-    instance: str
-    gateway: str
-
-
-@dataclass(frozen=True, slots=True)
-class ArrivalRecord:
-    """A call, order or report as it arrived; the time is in seconds."""
-
-    arrived_at: float
-    instance: str
-    gateway: str
-
-
-@dataclass(frozen=True, slots=True)
-class CrashRecord:
-    """The crash of an instance under a call; the time is in seconds."""
-
-    crashed_at: float
-    instance: str
-    gateway: str
-    body: bytes
-
-
 @dataclass(slots=True)
 class FakeSampler:
     """The state of one instance.
@@ -223,43 +165,6 @@
         self.ended_at: dict[str, float] = {}
 
 
-class FakeResponse:
-    """The response to one call."""
-
-    def __init__(
-        self,
-        status: int,
-        body: bytes = b"",
-        not_run: bool = False,
-        stamp: str = "",
-        version: int | None = None,
-        events: AsyncIterator[StreamEvent] | None = None,
-    ) -> None:
-        """Create a response with a body, or a stream of `events`."""
-        self.status = status
-        self.headers: Headers = []
-        self.not_run = not_run
-        self.stamp = stamp
-        self.version = version
-        self.load: InstanceLoad | None = None
-        self._body = body
-        self._events = events
-
-    async def read_body(self) -> bytes:
-        """Return the complete body."""
-        return self._body
-
-    async def iter_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body."""
-        yield self._body
-
-    async def iter_events(self) -> AsyncIterator[StreamEvent]:
-        """Yield the events."""
-        assert self._events is not None
-        async for event in self._events:
-            yield event
-
-
 class FakeSamplerClient:
     """A client with which one gateway reaches the instances."""
 
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -1,10 +1,6 @@
 """Forwarding of calls, with retries and hedging where the route allows it."""
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
-from random import Random
 
 import trio
 
@@ -13,8 +9,6 @@
 from ..crashes.coordinator import CrashWatch
 from ..crashes.table import Judgement
 from ..crashes.table import Standing
-from ..limits.coordinator import InstanceLimits
-from ..limits.permits import count_usable_slots
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerClient
 from ..ports.sampler import SamplerResponse
@@ -22,86 +16,39 @@
 from ..ports.upstream import UpstreamLimitError
 from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
-from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from .admission import Availability
-from .admission import estimate_availability
-from .admission import may_wait
-from .choice import choose_instance
+from .attempts import CallAttempts
 from .health import InstanceHealth
 from .models import CallFailure
 from .models import CallOutcome
 from .models import CallResponse
 from .models import FailureKind
 from .models import ForwardCall
+from .selection import choose_permit_wait_s
+from .selection import InstanceSelector
 
 SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
 
 
-@dataclass(slots=True)
-class CallAttempts:
-    """State of one call's attempts.
-
-    `tried` names instances, `started` counts attempts against the call's
-    maximum (refused ones don't count), `refusals` those that an instance
-    refused. `server_error` is the last 5xx response, returned when no
-    attempt gets a better one; `detail` explains the last failure. The call
-    waits for instances at their limit up to `permit_wait_until`. `crashes`
-    counts the instances that ended under it; `is_trial` is set for a single
-    attempt of a suspended request.
-    """
-
-    call: ForwardCall
-    outcome_sender: trio.MemorySendChannel[CallOutcome]
-    tried: set[str] = field(default_factory=set)
-    started: int = 0
-    running: int = 0
-    refusals: int = 0
-    may_have_run: bool = False
-    server_error: CallResponse | None = None
-    permit_wait_until: float = float("inf")
-    crashes: int = 0
-    is_trial: bool = False
-    detail: str = "no instance available"
-    cancel_scopes: list[trio.CancelScope] = field(default_factory=list)
-
-    def may_refuse(self) -> bool:
-        """Return whether no instance ran the call and none may still do."""
-        return not (self.running or self.may_have_run or self.server_error)
-
-    def set_deadline(self, at: float) -> None:
-        """Cancel the attempts at a time, in monotonic seconds."""
-        for scope in self.cancel_scopes:
-            scope.deadline = at
-
-
 class Forwarder:
     """Send calls to the instances of an upstream until one responds."""
 
     def __init__(
         self,
-        gateway: str,
-        zone: str,
         samplers: SamplerClient,
-        find_instances: Callable[[str, float], list[ListedInstance]],
+        selector: InstanceSelector,
         health: InstanceHealth,
-        limits: InstanceLimits,
         crashes: CrashWatch,
         metrics: Metrics,
-        rng: Random,
     ) -> None:
-        """Initialize; `gateway` is this gateway's name."""
-        self._gateway = gateway
-        self._zone = zone
+        """Initialize; `selector` picks the instances."""
         self._samplers = samplers
-        self._find_instances = find_instances
+        self.selector = selector
         self._health = health
-        self._limits = limits
         self._crashes = crashes
         self._metrics = metrics
-        self._rng = rng
         self._nursery: trio.Nursery | None = None
 
     async def run(
@@ -162,83 +109,7 @@
             detail=attempts.detail,
         )
         return CallFailure(
-            kind, attempts.detail, self.estimate_wait_s(call.route)
-        )
-
-    def estimate_wait_s(self, route: Route) -> float | None:
-        """Return after how many seconds an instance may accept a call.
-
-        None when there is no instance.
-        """
-        now = trio.current_time()
-        available = self._estimate_availability(route, now)
-        return None if available is None else available.wait_s
-
-    def _estimate_availability(
-        self, route: Route, now: float
-    ) -> Availability | None:
-        """Return when an instance may accept a call."""
-        instances = [
-            instance
-            for share in route.shares
-            for instance in self._find_instances(share.upstream, now)
-        ]
-        return estimate_availability(
-            instances,
-            self._health,
-            lambda i: self._limits.find_wait_s(i, route.priority, now),
-            now,
-        )
-
-    def may_wait(self, call: ForwardCall, permit_wait_until: float) -> bool:
-        """Return whether a call without an instance should wait for one.
-
-        It waits for instances at their limit up to `permit_wait_until`.
-        """
-        now = trio.current_time()
-        available = self._estimate_availability(call.route, now)
-        return may_wait(
-            available, call.give_up_at - now, permit_wait_until - now
-        )
-
-    def pick_instance(
-        self, route: Route, tried: set[str], now: float
-    ) -> ListedInstance | None:
-        """Return an instance for a call; None when there are none."""
-        upstream = choose_upstream(route, self._rng)
-        open_instances = [
-            instance
-            for instance in self._find_instances(upstream, now)
-            if not self._limits.find_wait_s(instance, route.priority, now)
-        ]
-        limited = {
-            instance.name
-            for instance in open_instances
-            if self._limits.find_limit(instance) is not None
-        }
-        return choose_instance(
-            open_instances,
-            self._health,
-            tried,
-            self._gateway,
-            self._zone,
-            self._samplers.is_connected,
-            now,
-            limited,
-        )
-
-    def count_slots(self, route: Route) -> int:
-        """Return how many calls a route's instances run at once."""
-        now = trio.current_time()
-        return sum(
-            count_usable_slots(
-                instance.slots,
-                self._limits.find_limit(instance),
-                self._health.get_state(instance.name).mean_duration_s
-                or const.DEFAULT_DURATION_S,
-            )
-            for share in route.shares
-            for instance in self._find_instances(share.upstream, now)
+            kind, attempts.detail, self.selector.estimate_wait_s(call.route)
         )
 
     async def _run_attempts(
@@ -268,7 +139,7 @@
                 if not started and attempts.running == 0:
                     if attempts.started >= call.max_attempts:
                         return attempts.server_error
-                    if attempts.may_refuse() and not self.may_wait(
+                    if attempts.may_refuse() and not self.selector.may_wait(
                         call, attempts.permit_wait_until
                     ):
                         return None
@@ -290,8 +161,11 @@
                     attempts.refusals += 1
                     attempts.detail = outcome.detail
                     if attempts.refusals >= const.MAX_REFUSALS:
-                        if attempts.may_refuse() and not self.may_wait(
-                            call, attempts.permit_wait_until
+                        if (
+                            attempts.may_refuse()
+                            and not self.selector.may_wait(
+                                call, attempts.permit_wait_until
+                            )
                         ):
                             return None
                         await trio.sleep(const.RETRY_DELAY_S)
@@ -353,12 +227,14 @@
         if attempts.started >= attempts.call.max_attempts:
             return False
         now = trio.current_time()
-        instance = self.pick_instance(attempts.call.route, attempts.tried, now)
+        instance = self.selector.pick_instance(
+            attempts.call.route, attempts.tried, now
+        )
         if instance is None:
             return False
         if attempts.running and (
             instance.name in attempts.tried
-            or self._limits.find_limit(instance) is not None
+            or not self.selector.may_hedge_at(instance)
         ):
             return False
         attempts.tried.add(instance.name)
@@ -472,19 +348,6 @@
                 log_event("attempt_failed", instance=name, detail=detail)
 
 
-def choose_upstream(route: Route, rng: Random) -> str:
-    """Return one of a route's upstreams, drawn by their weights."""
-    if len(route.shares) == 1:
-        return route.shares[0].upstream
-    weights = [share.weight for share in route.shares]
-    return rng.choices(route.shares, weights)[0].upstream
-
-
-def choose_permit_wait_s(call: ForwardCall) -> float:
-    """Return for how long a call may wait for instances at their limit."""
-    return const.PERMIT_WAIT_SHARE * call.route.target_latency_s
-
-
 def suspend_call(call: ForwardCall, judgement: Judgement) -> CallFailure:
     """Log and return the refusal of a call that crashes instances."""
     detail = (
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -23,13 +23,13 @@
 from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
-from .coordinator import choose_permit_wait_s
-from .coordinator import Forwarder
 from .coordinator import suspend_call
 from .health import InstanceHealth
 from .models import CallFailure
 from .models import FailureKind
 from .models import ForwardCall
+from .selection import choose_permit_wait_s
+from .selection import InstanceSelector
 
 STATUS_OK = 200
 
@@ -57,14 +57,14 @@
     def __init__(
         self,
         samplers: SamplerClient,
-        forwarder: Forwarder,
+        selector: InstanceSelector,
         health: InstanceHealth,
         crashes: CrashWatch,
         rng: Random,
     ) -> None:
-        """Initialize; `forwarder` picks the instances."""
+        """Initialize; `selector` picks the instances."""
         self._samplers = samplers
-        self._forwarder = forwarder
+        self._selector = selector
         self._health = health
         self._crashes = crashes
         self._rng = rng
@@ -90,11 +90,11 @@
         detail = "no instance available"
         while state.attempts < max_attempts:
             now = trio.current_time()
-            instance = self._forwarder.pick_instance(call.route, tried, now)
+            instance = self._selector.pick_instance(call.route, tried, now)
             if now >= call.give_up_at and not state.started:
                 break
             if instance is None:
-                if not state.may_have_run and not self._forwarder.may_wait(
+                if not state.may_have_run and not self._selector.may_wait(
                     call, permit_wait_until
                 ):
                     break
@@ -134,7 +134,7 @@
         if state.started:
             return None
         kind = FailureKind.LOST if state.may_have_run else FailureKind.NOT_RUN
-        expected_s = self._forwarder.estimate_wait_s(call.route)
+        expected_s = self._selector.estimate_wait_s(call.route)
         return CallFailure(kind, detail, expected_s)
 
     def _has_to_stop(self, call: ForwardCall, state: StreamState) -> bool:
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -16,6 +16,7 @@
 from ..directory.models import DirectoryKeys
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
+from ..forwarding.selection import InstanceSelector
 from ..forwarding.streams import StreamForwarder
 from ..kv_access.calls import PollableKeyValue
 from ..kv_access.relayed import RelayedKeyValue
@@ -134,16 +135,21 @@
             rng,
         )
         self.health = InstanceHealth(rng)
-        self.forwarder = Forwarder(
+        selector = InstanceSelector(
             identity.name,
             identity.zone,
             self._samplers,
             self.directory.find_instances,
             self.health,
             self.limits,
+            rng,
+        )
+        self.forwarder = Forwarder(
+            self._samplers,
+            selector,
+            self.health,
             self.crashes,
             self.metrics,
-            rng,
         )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
@@ -154,7 +160,7 @@
             self.directory,
             self.forwarder,
             StreamForwarder(
-                self._samplers, self.forwarder, self.health, self.crashes, rng
+                self._samplers, selector, self.health, self.crashes, rng
             ),
             self.archive,
             self.reader,
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -332,7 +332,7 @@
             if route is None:
                 await trio.sleep(const.RETRY_DELAY_S)
                 continue
-            slots = self._forwarder.count_slots(route)
+            slots = self._forwarder.selector.count_slots(route)
             self._scoring.total_tokens = max(
                 const.MIN_CONCURRENT_SCORES,
                 int(slots * const.SCORES_SLOT_SHARE),
