Ask a silent keeper of permits less and less often

Cause: a gateway whose machine is gone for good stays listed for five minutes; each other gateway asked it for a permit once a second, and the call that did waited 0.15 s. Change: each silence in a row doubles the pause, up to 16 s; a closed port is asked again after 1 s, as its process is about to restart.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -25,3 +25,4 @@
       | gateways join                           |
       | the store is away                       |
       | the limit ends                          |
+      | a keeper's machine is gone              |
--- a/features/support/limit_cases.py
+++ b/features/support/limit_cases.py
@@ -11,6 +11,7 @@
 from functools import partial
 
 from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.limits.const import PERMIT_TIMEOUT_S
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
@@ -37,6 +38,8 @@
 MAX_VIRTUAL_S = 240.0
 # A caller that can't be served learns it within its latency target.
 MAX_REFUSAL_S = 0.4
+# A gateway asks a silent keeper after 0, 1, 3 and 7 s.
+MAX_SILENT_ASKS = 4
 # Share of what the limits allow that callers who press for more must get.
 MIN_USED_SHARE = 0.7
 
@@ -261,6 +264,12 @@
     fleet.running[name].kv.faults.down = True
 
 
+def vanish(name: str, fleet: GatewayFleet) -> None:
+    """Let a gateway's machine vanish; its address stays listed."""
+    kill(name, fleet)
+    fleet.isolated.add(name)
+
+
 def lose_store(fleet: GatewayFleet) -> None:
     """Take the store away from all gateways."""
     for running in fleet.running.values():
@@ -342,6 +351,35 @@
 }
 
 
+def run_silent_keeper() -> list[str]:
+    """Call behind a keeper whose machine is gone; few calls wait for it."""
+    scenario = LimitScenario(
+        APPS, 4.0, (2.0, 2.0), changes=((3.0, partial(vanish, "g2")),)
+    )
+
+    async def work() -> list[str]:
+        plan = GatewayPlan(gateways=3, models=("m0",), slots=8, seed=5)
+        fleet = GatewayFleet(plan)
+        async with trio.open_nursery() as background:
+            await fleet.start(background)
+            run = LimitRun(scenario, trio.current_time(), fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(make_changes, run)
+                for number, per_s in enumerate(scenario.loads):
+                    nursery.start_soon(
+                        press_gateway, run, f"g{number}", per_s, nursery
+                    )
+            background.cancel_scope.cancel()
+        slow = [r for r in run.responses if r[1] >= PERMIT_TIMEOUT_S]
+        most = MAX_SILENT_ASKS * len(scenario.loads)
+        found = run.find_violations()
+        if len(slow) > most:
+            found.append(f"{len(slow)} calls waited for a silent keeper")
+        return found
+
+    return run_virtual(work, 1, MAX_VIRTUAL_S)
+
+
 def run_ended_limit() -> list[str]:
     """Run calls beyond a limit that ends; all are served after a second."""
     ends_at = 9.0
@@ -381,4 +419,5 @@
 CASES: dict[str, Callable[[], list[str]]] = {
     **{name: partial(run_scenario, s) for name, s in SCENARIOS.items()},
     "the limit ends": run_ended_limit,
+    "a keeper's machine is gone": run_silent_keeper,
 }
--- a/packages/pistachiospar/src/pistachiospar/limits/const.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/const.py
@@ -13,9 +13,11 @@
 # Permits are added up in floating point.
 ROUNDING_TOLERANCE: Final = 1e-6
 
-# A keeper that doesn't reply within this time is passed over for a while.
+# A keeper that doesn't reply within this time is passed over for a while,
+# twice as long after each failure in a row.
 PERMIT_TIMEOUT_S: Final = 0.15
-KEEPER_RETRY_DELAY_S: Final = 1.0
+KEEPER_RETRY_INITIAL_S: Final = 1.0
+KEEPER_RETRY_MAX_S: Final = 16.0
 MAX_KEEPERS_ASKED: Final = 3
 # A gateway asks again this long after a refusal at the earliest, and later
 # where many gateways ask the same keeper.
--- a/packages/pistachiospar/src/pistachiospar/limits/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/coordinator.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 import trio
 
@@ -28,6 +29,15 @@
 from .permits import PermitDecision
 
 
+@dataclass(slots=True)
+class KeeperFailure:
+    """How often a keeper failed in a row, how last, and when to ask again."""
+
+    count: int
+    failure: PeerFailure
+    retry_at: float
+
+
 class InstanceLimits:
     """Keep this gateway's calls within the limits that instances name."""
 
@@ -46,7 +56,7 @@
         self.observations = LimitObservations(metrics)
         self.keeper = PermitKeeper(trio.current_time)
         self._refused_until: dict[tuple[InstanceLifetime, int], float] = {}
-        self._failures: dict[str, tuple[float, PeerFailure]] = {}
+        self._failures: dict[str, KeeperFailure] = {}
         self._rankings: dict[str, tuple[frozenset[str], list[str]]] = {}
         self._ended, self._ended_queue = trio.open_memory_channel[
             ListedInstance
@@ -142,6 +152,7 @@
                 )
                 reply = await self._peer.take_permit(members[name].peer, call)
                 if isinstance(reply, PermitReply):
+                    self._failures.pop(name, None)
                     return reply
                 failure = reply
                 self._record_failure(name, failure)
@@ -188,15 +199,27 @@
 
     def _find_failure(self, name: str) -> PeerFailure | None:
         """Return how a keeper failed lately, None when it may be asked."""
-        failed_until, failure = self._failures.get(
-            name, (0.0, PeerFailure.GONE)
-        )
-        return failure if trio.current_time() < failed_until else None
+        known = self._failures.get(name)
+        if known is None or trio.current_time() >= known.retry_at:
+            return None
+        return known.failure
 
     def _record_failure(self, name: str, failure: PeerFailure) -> None:
-        """Pass a keeper over for a while, and log why."""
-        retry_at = trio.current_time() + const.KEEPER_RETRY_DELAY_S
-        self._failures[name] = (retry_at, failure)
+        """Pass a keeper over for a while, and log why.
+
+        The address of a machine that is gone for good is listed for minutes.
+        A closed port is asked again soon: its process is about to restart.
+        """
+        known = self._failures.get(name)
+        count = 1
+        if known is not None and failure is PeerFailure.SILENT:
+            count = known.count + 1
+        delay_s = min(
+            const.KEEPER_RETRY_INITIAL_S * 2.0 ** (count - 1),
+            const.KEEPER_RETRY_MAX_S,
+        )
+        retry_at = trio.current_time() + delay_s
+        self._failures[name] = KeeperFailure(count, failure, retry_at)
         self._metrics.count("permit_calls_failed")
         log_event("permit_keeper_failed", keeper=name, failure=failure.value)
 
