Record which software versions served an upstream

Cause: a resumed stream without a record went on when one version was listed and the list was up to date, also at gateways that had all just started and could not know what served before.

Change: each upstream's versions are stored under ps/g/software/, before a new stream begins at one of them, and stay for 126 s after the version has left. A resumed stream without a record goes on only where list, peers and that record name one version, and the record has all that may have begun it. Replies of gateways that have not read it yet don't count.

The row of a restart of all with one version now starts its fleet as a first start, as the platform says it of one; without that nobody can know what served before.

--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -17,6 +17,10 @@
       | a stream that no gateway knows is refused |
       | an unknown stream is refused after a version has left |
       | streams go on after all gateways restarted |
+      | a stream whose version left while all gateways restarted is refused |
+      | an unknown stream is refused after a release and a restart of all |
+      | streams are refused after a rollback and a restart of all |
+      | a stream is refused after a build without records was replaced |
       | a stream whose version is gone is refused |
       | a stream that began before a release goes on |
       | a gateway that reaches no other refuses |
@@ -40,6 +44,8 @@
       | one version, nobody replied                          |
       | one version, the only gateway                        |
       | one version, the only gateway, cut off               |
+      | one version, all gateways have just started          |
+      | a record decides, though all gateways have just started |
       | two versions                                         |
       | two upstreams                                        |
       | no instance                                          |
--- a/features/support/origin_decisions.py
+++ b/features/support/origin_decisions.py
@@ -37,9 +37,12 @@
     is_current: bool,
     record: StreamOrigin | None = None,
     fingerprint: str = "f1",
+    is_history_complete: bool = True,
 ) -> str:
     """Return the decision on a stream as a word."""
-    findings = OriginFindings(record, software, asked, answered, is_current)
+    findings = OriginFindings(
+        record, software, asked, answered, is_current, is_history_complete
+    )
     decided = decide_origin(findings, fingerprint)
     if isinstance(decided, SoftwareOrigin):
         return f"{decided.upstream} {decided.software}"
@@ -209,6 +212,14 @@
         lambda: decide(ONE, 0, 0, False),
         "OriginUnknown",
     ),
+    "one version, all gateways have just started": (
+        lambda: decide(ONE, 17, 17, True, is_history_complete=False),
+        "OriginUnknown",
+    ),
+    "a record decides, though all gateways have just started": (
+        lambda: decide(ONE, 17, 17, True, RECORD, "f1", False),
+        "pool v1",
+    ),
     "two versions": (lambda: decide(TWO, 5, 5, True), "OriginUnknown"),
     "two upstreams": (lambda: decide(SPLIT, 5, 5, True), "OriginUnknown"),
     "no instance": (
--- a/features/support/stream_cases.py
+++ b/features/support/stream_cases.py
@@ -180,7 +180,7 @@
     """Run a case on three gateways; return what went wrong."""
 
     async def work() -> list[str]:
-        fleet = GatewayFleet(GatewayPlan(seed=SEED))
+        fleet = GatewayFleet(GatewayPlan(seed=SEED, is_first_start=True))
         fleet.cluster.make_output = make_stream_output
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
--- a/features/support/stream_refusal_cases.py
+++ b/features/support/stream_refusal_cases.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from pistachiospar.stream_origins.const import PREFIX_SOFTWARE
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.recorders import ResponseRecorder
 import trio
@@ -48,6 +49,85 @@
     return check_refusal(fleet, response, 503, "stream-version-gone")
 
 
+async def check_restarted_gateways(fleet: GatewayFleet) -> list[str]:
+    """Restart all gateways while one version replaces the other."""
+    stream = make_streams(1)[0]
+    await request_stream(fleet, "g0", stream, cut_after=4)
+    kill_all_gateways(fleet)
+    replace_samplers(fleet)
+    await restart_all_gateways(fleet)
+    response = await request_stream(fleet, "g1", stream)
+    return check_refusal(fleet, response, 503, "stream-origin-unknown")
+
+
+async def check_restart_after_release(fleet: GatewayFleet) -> list[str]:
+    """Restart all gateways shortly after the older version has left."""
+    add_newer_samplers(fleet)
+    await trio.sleep(LISTING_S)
+    stream = CallerStream(make_stream_name(0), 1, "lost~1", ["x"])
+    replace_samplers(fleet)
+    await trio.sleep(LISTING_S)
+    kill_all_gateways(fleet)
+    await restart_all_gateways(fleet)
+    response = await request_stream(fleet, "g1", stream)
+    return check_refusal(fleet, response, 503, "stream-origin-unknown")
+
+
+async def check_restart_after_rollback(fleet: GatewayFleet) -> list[str]:
+    """Restart all gateways after a newer version was rolled back."""
+    add_newer_samplers(fleet)
+    await trio.sleep(LISTING_S)
+    streams = make_streams(6)
+    for stream in streams:
+        await request_stream(fleet, "g0", stream, cut_after=4)
+    kill_all_gateways(fleet)
+    for name in [n for n in fleet.cluster.samplers if n.startswith("n")]:
+        fleet.remove_sampler(name)
+    await restart_all_gateways(fleet)
+    problems = []
+    for stream in streams:
+        response = await request_stream(fleet, "g1", stream)
+        problems += check_refusal(
+            fleet, response, 503, "stream-origin-unknown"
+        )
+    return problems
+
+
+async def check_replaced_build(fleet: GatewayFleet) -> list[str]:
+    """Replace gateways of a build that recorded no software versions."""
+    stream = make_streams(1)[0]
+    await request_stream(fleet, "g0", stream, cut_after=4)
+    kill_all_gateways(fleet)
+    for key in list(fleet.store.items):
+        if key.startswith(PREFIX_SOFTWARE):
+            fleet.store.delete(key)
+    replace_samplers(fleet)
+    await restart_all_gateways(fleet)
+    response = await request_stream(fleet, "g1", stream)
+    return check_refusal(fleet, response, 503, "stream-origin-unknown")
+
+
+def kill_all_gateways(fleet: GatewayFleet) -> None:
+    """Kill all gateways at the same moment."""
+    for name in list(fleet.running):
+        fleet.kill_gateway(name)
+
+
+def replace_samplers(fleet: GatewayFleet) -> None:
+    """Replace the pool's instances by ones of a newer version."""
+    if "n0" not in fleet.cluster.samplers:
+        add_newer_samplers(fleet)
+    for number in range(fleet.plan.samplers):
+        fleet.remove_sampler(f"s{number}")
+
+
+async def restart_all_gateways(fleet: GatewayFleet) -> None:
+    """Start all gateways; wait until they list the instances."""
+    for number in range(fleet.plan.gateways):
+        fleet.start_gateway(f"g{number}")
+    await trio.sleep(LISTING_S)
+
+
 async def check_isolated_gateway(fleet: GatewayFleet) -> list[str]:
     """Resume a stream at a gateway that reaches no other."""
     stream = make_streams(1)[0]
@@ -97,6 +177,18 @@
     "an unknown stream is refused after a version has left": (
         check_recent_version
     ),
+    "a stream whose version left while all gateways restarted is refused": (
+        check_restarted_gateways
+    ),
+    "an unknown stream is refused after a release and a restart of all": (
+        check_restart_after_release
+    ),
+    "streams are refused after a rollback and a restart of all": (
+        check_restart_after_rollback
+    ),
+    "a stream is refused after a build without records was replaced": (
+        check_replaced_build
+    ),
     "a stream whose version is gone is refused": check_version_gone,
     "a gateway that reaches no other refuses": check_isolated_gateway,
     "another caller's stream is refused": check_other_stream,
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -117,6 +117,10 @@
         """Return the versions that may have begun an upstream's streams."""
         return self._software.list_versions(upstream, now)
 
+    def list_listed_software(self, upstream: str) -> frozenset[str]:
+        """Return the versions of an upstream's listed instances."""
+        return self._software.list_listed(upstream)
+
     def is_current(self, now: float) -> bool:
         """Return whether the list of instances is up to date."""
         return not self.instance_mirror.is_unavailable(now)
--- a/packages/pistachiospar/src/pistachiospar/directory/software.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/software.py
@@ -36,6 +36,10 @@
             if now - at <= SOFTWARE_MEMORY_S
         }
 
+    def list_listed(self, upstream: str) -> frozenset[str]:
+        """Return the versions of an upstream's listed instances."""
+        return frozenset(self._listed.get(upstream, ()))
+
     def list_versions(self, upstream: str, now: float) -> frozenset[str]:
         """Return the versions that may have begun an upstream's streams."""
         return frozenset(self._listed.get(upstream, ())) | {
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -36,3 +36,5 @@
 RESUME_PATIENCE_S: Final = 1.5
 # An instance that may have restarted is asked again after this long.
 LIFETIME_RETRY_DELAY_S: Final = 0.3
+# Instances whose software version could not be recorded, for one stream.
+MAX_UNRECORDED_ATTEMPTS: Final = 2
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -103,6 +103,7 @@
         permit_wait_until = trio.current_time() + choose_permit_wait_s(call)
         tried: set[str] = set()
         detail = "no instance available"
+        unrecorded = 0
         while state.attempts < max_attempts:
             now = trio.current_time()
             instance = self._selector.pick_instance(
@@ -122,7 +123,18 @@
                 detail = f"{instance.name} may run another version by now"
                 await trio.sleep(const.LIFETIME_RETRY_DELAY_S)
                 continue
-            max_wait_s = max(0.0, permit_wait_until - now)
+            if (
+                call.route.resumable
+                and not await self._origins.software.record_version(
+                    instance.upstream, instance.software
+                )
+            ):
+                detail = f"version {instance.software} could not be recorded"
+                unrecorded += 1
+                if unrecorded >= const.MAX_UNRECORDED_ATTEMPTS:
+                    break
+                continue
+            max_wait_s = max(0.0, permit_wait_until - trio.current_time())
             try:
                 if await self._relay(call, instance, state, sink, max_wait_s):
                     return None
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -34,7 +34,9 @@
 from ..ports.peer_watch import PeerWatch
 from ..ports.sampler import SamplerClient
 from ..ports.submissions import SubmissionPeer
+from ..stream_origins.const import PREFIX_SOFTWARE
 from ..stream_origins.coordinator import StreamOrigins
+from ..stream_origins.software_archive import SoftwareArchive
 from ..submissions.archive import Archive
 from ..submissions.coordinator import PoolCoordinator
 from ..submissions.reader import SubmissionReader
@@ -114,6 +116,18 @@
         self.crashes = CrashWatch(
             identity.name, self._samplers, self.kv, self.metrics
         )
+        software = SoftwareArchive(
+            identity.name,
+            self.kv,
+            self.holders.mirror,
+            self.holders.list_members,
+            self.directory.list_listed_software,
+            self.directory.is_current,
+            identity.is_first_start,
+            clocks.read_wall_s,
+            self.metrics,
+        )
+        self.holders.subscribe(PREFIX_SOFTWARE, software.apply_event)
         self.origins = StreamOrigins(
             identity.name,
             identity.zone,
@@ -121,6 +135,7 @@
             peer,
             self.directory.list_software,
             self.directory.is_current,
+            software,
             self.metrics,
         )
         self.directory.subscribe(self.origins.handle_instances_change)
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/const.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/const.py
@@ -19,3 +19,11 @@
 MAX_ORIGINS_PER_CALL: Final = 512
 # Changes of instances within this time are looked at together.
 INSTANCES_CHECK_INTERVAL_S: Final = 0.1
+
+PREFIX_SOFTWARE: Final = "ps/g/software/"
+# Clocks of machines differ by a few seconds.
+RECORD_MEMORY_S: Final = ORIGIN_MEMORY_S + 6.0
+# A new stream waits at most this long for its version to be recorded.
+RECORD_WAIT_S: Final = 0.4
+RECORD_RETRY_DELAY_S: Final = 0.05
+RECORD_CHECK_INTERVAL_S: Final = 10.0
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/coordinator.py
@@ -24,6 +24,7 @@
 from .messages import FindOriginCall
 from .messages import FindOriginReply
 from .messages import StreamOrigin
+from .software_archive import SoftwareArchive
 from .table import OriginTable
 
 
@@ -47,12 +48,14 @@
         peer: PeerOrigins,
         list_software: Callable[[str, float], frozenset[str]],
         is_current: Callable[[float], bool],
+        software: SoftwareArchive,
         metrics: Metrics,
     ) -> None:
         """Initialize; `list_members` returns the gateways by name.
 
         `list_software` returns the versions that may have begun an
-        upstream's streams; `is_current` whether they are up to date.
+        upstream's streams as far as this process saw them, `is_current`
+        whether they are up to date; `software` has the recorded ones.
         """
         self._own_name = own_name
         self._own_zone = own_zone
@@ -60,6 +63,7 @@
         self._peer = peer
         self._list_software = list_software
         self._is_current = is_current
+        self.software = software
         self._metrics = metrics
         self.table = OriginTable()
         self._pending: dict[str, PendingCopy] = {}
@@ -73,6 +77,7 @@
         """Copy origins until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._copy_earlier_streams)
+            nursery.start_soon(self.software.run)
             while True:
                 await self._wake_up.wait()
                 self._wake_up = trio.Event()
@@ -108,12 +113,12 @@
         """Return what this gateway and others know of a stream."""
         now = trio.current_time()
         software = {
-            upstream: set(self._list_software(upstream, now))
+            upstream: self._list_versions(upstream, now)
             for upstream in upstreams
         }
         known = self.table.find(stream, now)
         if known is not None:
-            return OriginFindings(known, software, 0, 0, True)
+            return OriginFindings(known, software, 0, 0, True, True)
         call = FindOriginCall(stream, list(software))
         names = self._ring.list_near(stream, self._list_members())
         replies = await self._ask(names, call)
@@ -121,12 +126,14 @@
             for upstream, versions in reply.software.items():
                 software.setdefault(upstream, set()).update(versions)
         found = [r.origin for r in replies if r.origin is not None]
+        informed = [r for r in replies if r.is_informed]
         return OriginFindings(
             found[0] if found else None,
             software,
             len(names),
-            len(replies),
-            self._is_current(now) or any(r.is_current for r in replies),
+            len(informed),
+            self._is_current(now) or any(r.is_current for r in informed),
+            self.software.is_complete(software),
         )
 
     def store_copies(self, origins: list[StreamOrigin]) -> None:
@@ -141,15 +148,23 @@
         return FindOriginReply(
             self.table.find(call.stream, now),
             {
-                upstream: sorted(self._list_software(upstream, now))
+                upstream: sorted(self._list_versions(upstream, now))
                 for upstream in call.upstreams
             },
             self._is_current(now),
+            self.software.is_synced(),
         )
 
+    def _list_versions(self, upstream: str, now: float) -> set[str]:
+        """Return the versions that may have begun an upstream's streams."""
+        return {
+            *self._list_software(upstream, now),
+            *self.software.list_versions(upstream),
+        }
+
     def _needs_copies(self, upstream: str, now: float) -> bool:
         """Return whether a stream's version isn't plain without a record."""
-        return len(self._list_software(upstream, now)) > 1 and any(
+        return len(self._list_versions(upstream, now)) > 1 and any(
             name != self._own_name for name in self._list_members()
         )
 
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/decisions.py
@@ -2,7 +2,8 @@
 
 Pattern: a caller resumes its stream at another gateway, since the first one
 was killed, frozen or cut off. A record of the stream decides. Without one the
-stream goes on only where a single version can have begun it.
+stream goes on only where a single version can have begun it: the gateways may
+all have just started, so that the stored record of versions counts too.
 """
 
 from collections.abc import Collection
@@ -19,7 +20,9 @@
 
     `software` has the versions that may have begun it, by upstream, of all
     that replied. `asked` counts other gateways, `answered` those that
-    replied; `is_current` is set when one of all is up to date.
+    replied and have read what served before; `is_current` is set when one of
+    all is up to date, `is_history_complete` when the stored record has all
+    versions that may have begun a stream.
     """
 
     origin: StreamOrigin | None
@@ -27,6 +30,7 @@
     asked: int
     answered: int
     is_current: bool
+    is_history_complete: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +75,8 @@
     if len(possible) != 1:
         names = ", ".join(f"{p.upstream} {p.software}" for p in possible)
         return OriginUnknown(f"no record of it; may be of {names or 'none'}")
+    if not findings.is_history_complete:
+        return OriginUnknown("no record of it, nor of what served before")
     if not _is_certain(findings):
         return OriginUnknown(
             f"no record of it; {findings.answered} of {findings.asked} "
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/messages.py
@@ -33,9 +33,11 @@
     """What a gateway knows of a stream; `origin` is None without a record.
 
     `software` has the versions that may have begun a stream, by upstream.
-    They are up to date when `is_current`.
+    They are up to date when `is_current`. `is_informed` is unset while the
+    gateway has not read since its start what served before.
     """
 
     origin: StreamOrigin | None
     software: dict[str, list[str]]
     is_current: bool
+    is_informed: bool = False
