Read load reports of more than three figures

Cause: `Instance-Load` was read only with exactly three figures, so an instance that sends a fourth one, its pace, reported in vain and calls went by this gateway's own count alone.

Change: three or more figures are read, the fourth as the pace (100 is usual); further ones are ignored. A malformed header is logged once for each instance and ignored. A 421 is another instance's response, so its load is not read. Parsing of responses moves to a module of its own.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -28,6 +28,12 @@
       | a 421 of another one that names a limit |
       | a limit that is not a number |
       | a limit below zero |
+      | a 200 that reports a load |
+      | a 200 that reports a load and a pace |
+      | a 200 that reports a load of five figures |
+      | a 421 of another one that reports a load |
+      | two loads that can't be read |
+      | a load of two figures |
       | an order's response that names a limit |
       | a report that names a limit |
       | a 503 that says the request did not run    |
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
+from unittest.mock import patch
 
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.platform.samplers import PlatformSamplerClient
@@ -146,6 +147,38 @@
         (make_response("c1", b"ok", extra="Server-Limit: nan\r\n"),),
         ["200 ok"],
     ),
+    "a 200 that reports a load": ResponseCase(
+        (make_response("c1", b"ok", extra="Instance-Load: 5,2,8\r\n"),),
+        ["load 5,2,8 at 1", "200 ok"],
+    ),
+    "a 200 that reports a load and a pace": ResponseCase(
+        (make_response("c1", b"ok", extra="Instance-Load: 5, 2,8,250\r\n"),),
+        ["load 5,2,8 at 2.5", "200 ok"],
+    ),
+    "a 200 that reports a load of five figures": ResponseCase(
+        (make_response("c1", b"ok", extra="Instance-Load: 5,2,8,50,x\r\n"),),
+        ["load 5,2,8 at 0.5", "200 ok"],
+    ),
+    "a 421 of another one that reports a load": ResponseCase(
+        (
+            make_response(
+                "c1", b"", "421 Misdirected", "Instance-Load: 5,2,8\r\n"
+            ),
+        ),
+        ["not run"],
+    ),
+    "two loads that can't be read": ResponseCase(
+        (
+            make_response("c1", b"ok", extra="Instance-Load: 5,x,8\r\n"),
+            make_response("c2", b"ok", extra="Instance-Load: 5,2,8,0\r\n"),
+        ),
+        ["unreadable 5,x,8", "200 ok", "200 ok"],
+        calls=2,
+    ),
+    "a load of two figures": ResponseCase(
+        (make_response("c1", b"ok", extra="Instance-Load: 5,2\r\n"),),
+        ["unreadable 5,2", "200 ok"],
+    ),
     "a limit below zero": ResponseCase(
         (make_response("c1", b"ok", extra="Server-Limit: -1\r\n"),),
         ["200 ok"],
@@ -233,12 +266,6 @@
     """Make the calls of a case; return a text for each result."""
     samplers = PlatformSamplerClient()
     instance = ListedInstance("i-1", "app", address, "zone", 8, False)
-    readers: dict[str, Callable[..., Awaitable[list[str]]]] = {
-        "call": _read_stream if case.is_stream else _read_complete,
-        "order": _send_order,
-        "report": _fetch_report,
-    }
-    read_response = readers[case.operation]
     found: list[str] = []
     samplers.report_leaving = lambda instance: found.append("leaving")
 
@@ -249,6 +276,27 @@
             found.append(f"limit {limit}")
 
     samplers.report_limit = record_limit
+    with patch("pistachiospar.platform.samplers.log_event") as log_event:
+        log_event.side_effect = lambda event, instance, header: found.append(
+            f"{event.removeprefix('instance_load_')} {header}"
+        )
+        await _make_numbered_calls(case, samplers, instance, found)
+    return found
+
+
+async def _make_numbered_calls(
+    case: ResponseCase,
+    samplers: PlatformSamplerClient,
+    instance: ListedInstance,
+    found: list[str],
+) -> None:
+    """Make the calls of a case; add a text for each result to `found`."""
+    readers: dict[str, Callable[..., Awaitable[list[str]]]] = {
+        "call": _read_stream if case.is_stream else _read_complete,
+        "order": _send_order,
+        "report": _fetch_report,
+    }
+    read_response = readers[case.operation]
     for number in range(1, case.calls + 1):
         call = SamplerCall(
             f"c{number}",
@@ -266,7 +314,6 @@
         except UpstreamError:
             found.append("may have run")
         await trio.sleep(0.02)
-    return found
 
 
 async def _send_order(
@@ -300,8 +347,14 @@
     async with samplers.call(instance, call) as response:
         body = await response.read_body()
         if response.not_run:
+            assert response.load is None, response.load
             return ["not run"]
-        return [f"{response.status} {body.decode()}"]
+        load = response.load
+        found = []
+        if load is not None:
+            figures = f"{load.running},{load.waiting},{load.slots}"
+            found.append(f"load {figures} at {load.pace:g}")
+        return [*found, f"{response.status} {body.decode()}"]
 
 
 async def _read_stream(
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -46,6 +46,8 @@
 LEAVING: Final = "1"
 HEADER_SERVER_LIMIT: Final = "server-limit"
 HEADER_INSTANCE_LOAD: Final = "instance-load"
+# The pace in a load report of an instance where work takes its usual time.
+USUAL_PACE: Final = 100.0
 HEADER_RESPONSE_STAMP: Final = "response-stamp"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 MAX_EVENT_NUMBER_DIGITS: Final = 18
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -0,0 +1,148 @@
+"""Responses of the platform's samplers, read from HTTP."""
+
+from collections.abc import AsyncIterator
+import re
+from typing import Final
+
+from ..adapters.http.client import HttpStreamResponse
+from ..adapters.http.client import ReceiveBuffer
+from ..adapters.http.errors import HttpError
+from ..adapters.http.models import Headers
+from . import const
+from ..const import MEBIBYTE
+from ..ports.sampler import InstanceLoad
+from ..ports.sampler import StreamEvent
+from ..ports.upstream import UpstreamError
+
+MAX_EVENT_BYTES: Final = MEBIBYTE
+STATUS_WRONG_INSTANCE: Final = 421
+DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+
+HOP_BY_HOP_HEADERS: Final = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_COUNT_PATTERN: Final = re.compile(r"[0-9]{1,9}")
+_NOT_RUN_STATUSES: Final = frozenset((STATUS_WRONG_INSTANCE,))
+
+
+class PlatformResponse:
+    """A sampler's response, read as it arrives."""
+
+    def __init__(
+        self,
+        response: HttpStreamResponse,
+        buffer: ReceiveBuffer,
+        load: InstanceLoad | None,
+    ) -> None:
+        """Read the head of the response; `buffer` is for its body.
+
+        `load` is what the instance reports in it.
+        """
+        self._response = response
+        self._buffer = buffer
+        self.status = response.status
+        self.headers = strip_hop_by_hop_headers(response.raw_headers)
+        self.not_run = (
+            const.HEADER_NOT_EXECUTED in response.headers
+            or response.status in _NOT_RUN_STATUSES
+        )
+        self.stamp = response.headers.get(const.HEADER_RESPONSE_STAMP, "")
+        self.version = _read_number(
+            response.headers.get(const.HEADER_WEIGHT_VERSIONS)
+        )
+        self.load = load
+
+    async def read_body(self) -> bytes:
+        """Return the complete body.
+
+        Raises UpstreamError if it is truncated or too large.
+        """
+        try:
+            return await self._buffer.read_body(self._response)
+        except HttpError as error:
+            raise UpstreamError(f"response was cut off: {error}") from error
+
+    async def iter_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in chunks; raises UpstreamError if truncated."""
+        try:
+            async for chunk in self._response.iter_chunks():
+                yield chunk
+        except HttpError as error:
+            raise UpstreamError(f"response was truncated: {error}") from error
+
+    async def iter_events(self) -> AsyncIterator[StreamEvent]:
+        """Yield complete events.
+
+        Raises UpstreamError if the stream is truncated or an event too large.
+        """
+        buffer = b""
+        async for chunk in self.iter_chunks():
+            *blocks, buffer = (buffer + chunk).split(b"\n\n")
+            for block in blocks:
+                event = _read_event(block)
+                if event is not None:
+                    yield event
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise UpstreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        if buffer.strip():
+            raise UpstreamError("stream ended within an event")
+
+
+def strip_hop_by_hop_headers(headers: Headers) -> Headers:
+    """Return the end-to-end headers."""
+    return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP_HEADERS]
+
+
+def _read_number(text: str | None) -> int | None:
+    """Parse a decimal integer, None for anything else."""
+    if text is None or not text.strip().isdecimal():
+        return None
+    return int(text)
+
+
+def parse_load(text: str | None) -> InstanceLoad | None:
+    """Parse `running,waiting,slots[,pace]`; further figures are ignored.
+
+    None for anything else. The usual pace is sent as 100.
+    """
+    parts = [part.strip() for part in (text or "").split(",")]
+    counts = parts[:3]
+    if len(counts) < 3 or not all(map(_COUNT_PATTERN.fullmatch, counts)):
+        return None
+    running, waiting, slots = map(int, counts)
+    if len(parts) == 3:
+        return InstanceLoad(running, waiting, slots)
+    if not DECIMAL_PATTERN.fullmatch(parts[3]) or not float(parts[3]):
+        return None
+    pace = float(parts[3]) / const.USUAL_PACE
+    return InstanceLoad(running, waiting, slots, pace)
+
+
+def _read_event(block: bytes) -> StreamEvent | None:
+    """Parse one event, None if it has no number."""
+    number: int | None = None
+    version: int | None = None
+    data: list[str] = []
+    for line in block.decode("utf-8", "replace").split("\n"):
+        name, _, value = line.rstrip("\r").partition(":")
+        value = value.removeprefix(" ")
+        if name == "id":
+            number = _read_number(value)
+        elif name == "data":
+            data.append(value)
+        elif name == const.HEADER_WEIGHT_VERSIONS:
+            version = _read_number(value)
+    if number is None:
+        return None
+    return StreamEvent(number, "\n".join(data), version, block + b"\n\n")
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from contextlib import asynccontextmanager
-import re
 from typing import Final
 
 import msgspec
@@ -13,7 +12,6 @@
 import trio
 
 from ..adapters.http.client import HttpPool
-from ..adapters.http.client import HttpStreamResponse
 from ..adapters.http.client import ReceiveBuffer
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
@@ -28,11 +26,16 @@
 from ..ports.sampler import ProcessState
 from ..ports.sampler import SamplerCall
 from ..ports.sampler import SamplerReport
-from ..ports.sampler import StreamEvent
 from ..ports.upstream import UpstreamError
 from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
+from ..telemetry.logs import log_event
 from .instances import HeldModelMessage
+from .sampler_responses import DECIMAL_PATTERN
+from .sampler_responses import HOP_BY_HOP_HEADERS
+from .sampler_responses import parse_load
+from .sampler_responses import PlatformResponse
+from .sampler_responses import STATUS_WRONG_INSTANCE
 
 # The network delay within a region is 1 ms; a retransmission takes 1 s.
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -41,23 +44,9 @@
 CHECK_TIMEOUT_S: Final = 0.1
 MAX_IDLE_CONNECTIONS: Final = 64
 MAX_REPORT_BYTES: Final = MEBIBYTE
-MAX_EVENT_BYTES: Final = MEBIBYTE
-
-_HOP_BY_HOP_HEADERS: Final = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-_RESERVED_HEADERS: Final = _HOP_BY_HOP_HEADERS | {
+MAX_LOGGED_HEADER: Final = 64
+
+_RESERVED_HEADERS: Final = HOP_BY_HOP_HEADERS | {
     const.HEADER_DEADLINE_MS,
     const.HEADER_REQUEST_ID,
     const.HEADER_EXPECT_INSTANCE.lower(),
@@ -65,9 +54,6 @@
     const.HEADER_LAST_EVENT_ID.lower(),
     const.HEADER_REQUEST_PRIORITY.lower(),
 }
-_WRONG_INSTANCE: Final = 421
-_DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
-_NOT_RUN_STATUSES: Final = frozenset((_WRONG_INSTANCE,))
 _ORDER_OUTCOMES: Final = {
     202: LoadOrderOutcome.ACCEPTED,
     200: LoadOrderOutcome.HOLDS,
@@ -102,65 +88,6 @@
     mode: str = "retain"
 
 
-class PlatformResponse:
-    """A sampler's response, read as it arrives."""
-
-    def __init__(
-        self, response: HttpStreamResponse, buffer: ReceiveBuffer
-    ) -> None:
-        """Read the head of the response; `buffer` is for its body."""
-        self._response = response
-        self._buffer = buffer
-        self.status = response.status
-        self.headers = strip_hop_by_hop_headers(response.raw_headers)
-        self.not_run = (
-            const.HEADER_NOT_EXECUTED in response.headers
-            or response.status in _NOT_RUN_STATUSES
-        )
-        self.stamp = response.headers.get(const.HEADER_RESPONSE_STAMP, "")
-        self.version = _read_number(
-            response.headers.get(const.HEADER_WEIGHT_VERSIONS)
-        )
-        self.load = _read_load(
-            response.headers.get(const.HEADER_INSTANCE_LOAD)
-        )
-
-    async def read_body(self) -> bytes:
-        """Return the complete body.
-
-        Raises UpstreamError if it is truncated or too large.
-        """
-        try:
-            return await self._buffer.read_body(self._response)
-        except HttpError as error:
-            raise UpstreamError(f"response was cut off: {error}") from error
-
-    async def iter_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body in chunks; raises UpstreamError if truncated."""
-        try:
-            async for chunk in self._response.iter_chunks():
-                yield chunk
-        except HttpError as error:
-            raise UpstreamError(f"response was truncated: {error}") from error
-
-    async def iter_events(self) -> AsyncIterator[StreamEvent]:
-        """Yield complete events.
-
-        Raises UpstreamError if the stream is truncated or an event too large.
-        """
-        buffer = b""
-        async for chunk in self.iter_chunks():
-            *blocks, buffer = (buffer + chunk).split(b"\n\n")
-            for block in blocks:
-                event = _read_event(block)
-                if event is not None:
-                    yield event
-            if len(buffer) > MAX_EVENT_BYTES:
-                raise UpstreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        if buffer.strip():
-            raise UpstreamError("stream ended within an event")
-
-
 class PlatformSamplerClient:
     """Client of all samplers, over persistent connections."""
 
@@ -168,6 +95,7 @@
         """Set up without connections or a listener."""
         self._pools: dict[str, HttpPool] = {}
         self._buffer = ReceiveBuffer()
+        self._unreadable_loads: set[str] = set()
         self.report_leaving: Callable[[ListedInstance], None] = (
             lambda instance: None
         )
@@ -198,7 +126,12 @@
                 self._read_announcements(
                     instance, response.status, response.headers, sent_at
                 )
-                yield PlatformResponse(response, self._buffer)
+                load = (
+                    None
+                    if response.status == STATUS_WRONG_INSTANCE
+                    else self._read_load(instance, response.headers)
+                )
+                yield PlatformResponse(response, self._buffer, load)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
         except HttpError as error:
@@ -301,6 +234,27 @@
         """Close the connections to all instances except the named ones."""
         for name in [name for name in self._pools if name not in names]:
             self._pools.pop(name).close()
+        self._unreadable_loads &= names
+
+    def _read_load(
+        self, instance: ListedInstance, headers: dict[str, str]
+    ) -> InstanceLoad | None:
+        """Return the load that a response reports; None if it can't be read.
+
+        A malformed report is logged once for each instance.
+        """
+        text = headers.get(const.HEADER_INSTANCE_LOAD)
+        load = parse_load(text)
+        if text is None or load is not None:
+            return load
+        if instance.name not in self._unreadable_loads:
+            self._unreadable_loads.add(instance.name)
+            log_event(
+                "instance_load_unreadable",
+                instance=instance.name,
+                header=text[:MAX_LOGGED_HEADER],
+            )
+        return None
 
     def _read_announcements(
         self,
@@ -313,7 +267,7 @@
 
         A 421 is the response of another instance at the same address.
         """
-        if status == _WRONG_INSTANCE:
+        if status == STATUS_WRONG_INSTANCE:
             return
         leaving = headers.get(const.HEADER_SERVER_LEAVING, "").strip()
         if leaving == const.LEAVING:
@@ -332,11 +286,6 @@
         return pool
 
 
-def strip_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Return the end-to-end headers."""
-    return [(n, v) for n, v in headers if n.lower() not in _HOP_BY_HOP_HEADERS]
-
-
 def _make_headers(instance: ListedInstance, call: SamplerCall) -> Headers:
     """Return the headers of a call: the caller's and this service's."""
     headers = [
@@ -356,42 +305,8 @@
     return headers
 
 
-def _read_number(text: str | None) -> int | None:
-    """Parse a decimal integer, None for anything else."""
-    if text is None or not text.strip().isdecimal():
-        return None
-    return int(text)
-
-
-def _read_load(text: str | None) -> InstanceLoad | None:
-    """Parse `running,waiting,slots`, None for anything else."""
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(p.strip().isdecimal() for p in parts):
-        return None
-    return InstanceLoad(int(parts[0]), int(parts[1]))
-
-
 def _read_limit(text: str | None) -> float | None:
     """Parse a number of requests a second, None for anything else."""
-    if text is None or not _DECIMAL_PATTERN.fullmatch(text.strip()):
+    if text is None or not DECIMAL_PATTERN.fullmatch(text.strip()):
         return None
     return float(text)
-
-
-def _read_event(block: bytes) -> StreamEvent | None:
-    """Parse one event, None if it has no number."""
-    number: int | None = None
-    version: int | None = None
-    data: list[str] = []
-    for line in block.decode("utf-8", "replace").split("\n"):
-        name, _, value = line.rstrip("\r").partition(":")
-        value = value.removeprefix(" ")
-        if name == "id":
-            number = _read_number(value)
-        elif name == "data":
-            data.append(value)
-        elif name == const.HEADER_WEIGHT_VERSIONS:
-            version = _read_number(value)
-    if number is None:
-        return None
-    return StreamEvent(number, "\n".join(data), version, block + b"\n\n")
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -40,10 +40,16 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceLoad:
-    """The number of calls that run and wait at an instance."""
+    """The number of calls that run and wait at an instance.
+
+    `slots` is how many it runs at once. `pace` is how long work takes there
+    at present as a multiple of the usual time.
+    """
 
     running: int
     waiting: int
+    slots: int
+    pace: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
