Take organisations and their keys from the configuration

Cause: callers of a shared deployment need to be told apart, and some served first.

A call on a route that isn't public needs a known key, else 401 after the 404 of an unknown route; calls on submissions always need one. `ForwardCall.organisation`, `SamplerCall.organisation`, `Submission.organisation` and pages of results carry the name, samplers get it as `Tenant`, and the priority replaces that of `ForwardCall.route`.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -153,7 +153,12 @@
         return running.coordinator.origins.serve_find(call)
 
     async def fetch_results(
-        self, address: str, submission: str, after: int, wait_s: float
+        self,
+        address: str,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> ResultPage | None:
         """Return results; None when the peer is unreachable or lacks them."""
         await trio.sleep(0.001)
@@ -161,7 +166,7 @@
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
         reader = running.coordinator.reader
-        return await reader.read_local(submission, after, wait_s)
+        return await reader.read_local(submission, after, wait_s, organisation)
 
 
 class GatewayFleet:
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -119,16 +119,24 @@
             return None
 
     async def fetch_results(
-        self, address: str, submission: str, after: int, wait_s: float
+        self,
+        address: str,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> ResultPage | None:
         """Return the results of a submission that a peer holds.
 
         The peer waits up to `wait_s` for results after `after`. None means
-        that it failed to reply or doesn't hold the submission.
+        that it failed to reply or doesn't hold a submission of the
+        organisation.
         """
         name = quote(submission, safe="")
         wait_ms = int(wait_s * 1000)
         target = f"{const.PATH_RESULTS}{name}?after={after}&wait_ms={wait_ms}"
+        if organisation is not None:
+            target += "&organisation=" + quote(organisation, safe="")
         try:
             with trio.fail_after(wait_s + const.RESPONSE_MARGIN_S):
                 response = await self._get_pool(address).fetch("GET", target)
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -22,7 +22,9 @@
 from ..http.server import Exchange
 
 FollowServer = Callable[[FollowCall], Awaitable[FollowReply | None]]
-LocalResultsReader = Callable[[str, int, float], Awaitable[ResultPage | None]]
+LocalResultsReader = Callable[
+    [str, int, float, str | None], Awaitable[ResultPage | None]
+]
 
 
 class GatewayPeerHandler:
@@ -102,6 +104,7 @@
             unquote(request.path.removeprefix(const.PATH_RESULTS)),
             int(parameters.get("after", "0")),
             int(parameters.get("wait_ms", "0")) / 1000,
+            parameters.get("organisation"),
         )
         if page is None:
             await exchange.send_response(404, [], b"")
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -90,6 +90,13 @@
         """Return whether a configuration is in force."""
         return self.table.version > 0
 
+    def compute_configuration_age_s(self, now: float) -> float:
+        """Return how long ago no newer configuration was known to exist."""
+        last_at = self.configuration_mirror.last_success_at
+        if last_at is None or self.configuration_mirror.failures:
+            return float("inf")
+        return now - last_at
+
     async def wait_for_configuration(self, timeout_s: float) -> bool:
         """Wait for configuration and instances for at most `timeout_s`.
 
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -281,6 +281,7 @@
             call.give_up_at - started_at,
             urgency=call.route.priority,
             max_wait_s=max(0.0, attempts.permit_wait_until - started_at),
+            organisation=call.organisation,
         )
         state.in_flight += 1
         sent = True
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -15,6 +15,9 @@
     `fingerprint` recognises the request when it comes again; empty for calls
     that are owed whatever instances they crash. A caller resumes the stream
     that began with the request `stream` after the event `after_event`.
+    `organisation` is the name of the one it belongs to: empty for a public
+    call, None when no organisations are configured. The priority of `route`
+    is the organisation's if that has one.
     """
 
     request_id: str
@@ -29,6 +32,7 @@
     fingerprint: str = ""
     stream: str = ""
     after_event: int = 0
+    organisation: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -272,6 +272,7 @@
             after_event=state.last_event or None,
             urgency=call.route.priority,
             max_wait_s=max_wait_s,
+            organisation=call.organisation,
         )
         async with self._samplers.call(instance, sampler_call) as response:
             if response.not_run:
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -49,7 +49,9 @@
 from ..watch_relay.server import WatchServer
 from ..weight_versions.coordinator import VersionCoordinator
 from .models import GatewayIdentity
+from .refusals import RefusalSender
 from .routes import GatewayHandler
+from .submission_calls import SubmissionHandler
 
 
 class GatewayPeers(
@@ -190,6 +192,7 @@
         self.reader = SubmissionReader(
             self.archive, self.holders, self._find_submission, peer
         )
+        refusals = RefusalSender(self.directory, self.metrics, rng)
         self.handler = GatewayHandler(
             self.directory,
             self.forwarder,
@@ -200,11 +203,16 @@
                 self.crashes,
                 self.origins,
             ),
-            self.archive,
-            self.reader,
-            clocks.read_wall_s,
+            SubmissionHandler(
+                self.archive,
+                self.reader,
+                refusals,
+                clocks.read_wall_s,
+                self.metrics,
+            ),
+            refusals,
+            identity.key_rules,
             self.metrics,
-            rng,
         )
         self._confirmed_retirements: dict[str, int] = {}
         self._table_changed = trio.Event()
@@ -310,6 +318,7 @@
             lambda host, path: self.directory.table.find_route(host, path),
             versions.record_version,
             self.metrics,
+            lambda: self.directory.table.organisations is not None,
         )
         return PoolCoordinator(
             name,
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -1,6 +1,9 @@
 """Data classes of the gateway."""
 
 from dataclasses import dataclass
+from dataclasses import field
+
+from ..organisations.models import KeyRules
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,7 +14,8 @@
     outlives its holder, `value_bytes` the largest value that the key-value
     service stores, `result_retention_s` how long an ended submission can
     still be read, `cpu_capacity` how much of a core it has. `is_first_start`
-    is set when all gateways start together for the first time.
+    is set when all gateways start together for the first time. `key_rules`
+    say by how old a configuration keys are checked.
     """
 
     name: str
@@ -22,3 +26,4 @@
     result_retention_s: float
     cpu_capacity: float = 1.0
     is_first_start: bool = False
+    key_rules: KeyRules = field(default_factory=KeyRules)
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -1,18 +1,12 @@
 """HTTP handler for the requests of callers and trainers."""
 
-from collections.abc import Callable
 from dataclasses import replace
-from random import Random
 
 from result import Err
-from result import Ok
-from result import Result
 import trio
 
-from ..adapters.http.models import Headers
 from ..adapters.http.models import HttpRequest
 from . import const
-from ..const import CONTENT_TYPE_JSON
 from ..crashes.fingerprints import compute_fingerprint
 from ..directory.coordinator import Directory
 from ..forwarding.coordinator import Forwarder
@@ -27,31 +21,26 @@
 from ..helpers.problems import refuse_input
 from ..helpers.problems import refuse_not_run
 from ..helpers.problems import report_unknown_outcome
+from ..organisations.decisions import apply_priority
+from ..organisations.decisions import authenticate
+from ..organisations.decisions import name_organisation
+from ..organisations.models import KeyFault
+from ..organisations.models import KeyRefusal
+from ..organisations.models import KeyRules
+from ..organisations.models import Organisation
 from ..platform.callers import CallerHeaders
-from ..platform.callers import encode_results
-from ..platform.callers import EndRequest
-from ..platform.callers import ItemBodyRequest
 from ..platform.callers import read_caller_headers
 from ..platform.callers import read_identity
 from ..platform.callers import read_stream_position
-from ..platform.callers import read_submission
 from ..platform.callers import read_submission_request
-from ..platform.callers import ResultsRequest
 from ..ports.caller_response import CallerSink
-from ..ports.kv import KvError
-from ..ports.kv import KvFault
 from ..routing.models import CallKind
 from ..routing.models import Route
-from ..submissions.archive import Archive
-from ..submissions.const import MAX_KEY_BYTES
-from ..submissions.keys import make_part_key
-from ..submissions.models import Submission
-from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from .retry_after import choose_retry_after_s
-
-_JSON_HEADERS: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
+from .refusals import RefusalSender
+from .refusals import STATUS_UNAUTHORIZED
+from .submission_calls import SubmissionHandler
 
 
 class GatewayHandler:
@@ -62,20 +51,18 @@
         directory: Directory,
         forwarder: Forwarder,
         streams: StreamForwarder,
-        archive: Archive,
-        reader: SubmissionReader,
-        read_wall_s: Callable[[], float],
+        submissions: SubmissionHandler,
+        refusals: RefusalSender,
+        key_rules: KeyRules,
         metrics: Metrics,
-        rng: Random,
     ) -> None:
-        """Initialize; `read_wall_s` returns Unix time."""
-        self._rng = rng
+        """Initialize; `key_rules` say how callers' keys are checked."""
         self._directory = directory
         self._forwarder = forwarder
         self._streams = streams
-        self._archive = archive
-        self._reader = reader
-        self._read_wall_s = read_wall_s
+        self._submissions = submissions
+        self._refuse = refusals.send
+        self._key_rules = key_rules
         self._metrics = metrics
 
     async def handle(self, request: HttpRequest, exchange: CallerSink) -> None:
@@ -89,15 +76,30 @@
             problem = refuse_not_run("no-configuration", "not loaded yet")
             await self._refuse(exchange, caller, problem)
             return
-        match read_submission_request(request):
-            case ResultsRequest() as call:
-                await self._serve_results(call, caller, exchange)
-            case ItemBodyRequest() as call:
-                await self._serve_body(call, caller, exchange)
-            case EndRequest(submission):
-                await self._end_submission(submission, caller, exchange)
-            case None:
-                await self._serve_route(request, caller, exchange, arrived_at)
+        submission_call = read_submission_request(request)
+        if submission_call is None:
+            await self._serve_route(request, caller, exchange, arrived_at)
+            return
+        found = self._authenticate(request, None)
+        if isinstance(found, KeyRefusal):
+            await self._refuse(exchange, caller, _describe_refused_key(found))
+            return
+        organisation = name_organisation(self._directory.table, found)
+        await self._submissions.handle(
+            submission_call, caller, exchange, organisation
+        )
+
+    def _authenticate(
+        self, request: HttpRequest, route: Route | None
+    ) -> Organisation | None | KeyRefusal:
+        """Return the organisation of a request's key."""
+        return authenticate(
+            self._directory.table,
+            route,
+            request.raw_headers,
+            self._directory.compute_configuration_age_s(trio.current_time()),
+            self._key_rules,
+        )
 
     async def _serve_route(
         self,
@@ -113,10 +115,25 @@
             detail = f"no route in configuration version {table.version}"
             problem = refuse_input("unknown-route", detail, 404)
             await self._refuse(exchange, caller, problem)
-        elif route.kind is CallKind.ROLLOUT:
-            await self._accept_submission(request, caller, exchange)
+            return
+        found = self._authenticate(request, route)
+        if isinstance(found, KeyRefusal):
+            await self._refuse(exchange, caller, _describe_refused_key(found))
+            return
+        organisation = name_organisation(table, found)
+        if route.kind is CallKind.ROLLOUT:
+            await self._submissions.accept(
+                request, caller, exchange, organisation
+            )
         else:
-            await self._forward(request, caller, exchange, route, arrived_at)
+            await self._forward(
+                request,
+                caller,
+                exchange,
+                apply_priority(route, found),
+                organisation,
+                arrived_at,
+            )
 
     async def _forward(
         self,
@@ -124,6 +141,7 @@
         caller: CallerHeaders,
         exchange: CallerSink,
         route: Route,
+        organisation: str | None,
         arrived_at: float,
     ) -> None:
         """Forward a request and send the response or problem."""
@@ -154,11 +172,12 @@
                 caller.host,
                 request.method,
                 request.target,
-                read_identity(request),
+                read_identity(request, organisation),
                 request.body,
             ),
             stream=resumed.stream if resumed else "",
             after_event=resumed.after_event if resumed else 0,
+            organisation=organisation,
         )
         if route.stream:
             outcome: CallOutcome | None = await self._streams.forward(
@@ -172,6 +191,7 @@
             "call_ended",
             request=call.request_id,
             route=route.name,
+            organisation=organisation,
             configuration=self._directory.table.version,
             limit_s=round(limit_s, 3),
             took_s=round(took_s, 4),
@@ -207,179 +227,10 @@
                     problem = replace(problem, status=504)
                 await self._refuse(exchange, caller, problem)
 
-    async def _accept_submission(
-        self,
-        request: HttpRequest,
-        caller: CallerHeaders,
-        exchange: CallerSink,
-    ) -> None:
-        """Store a submission; it is durable before the response."""
-        if request.method != "POST":
-            problem = refuse_input("method-not-allowed", "use POST", 405)
-            await self._refuse(exchange, caller, problem)
-            return
-        part_key_bytes = len(make_part_key(caller.id, 0).encode())
-        if not caller.id or part_key_bytes > MAX_KEY_BYTES:
-            problem = refuse_input("bad-id", "request id missing or too long")
-            await self._refuse(exchange, caller, problem)
-            return
-        read = read_submission(request, caller, self._read_wall_s())
-        if isinstance(read, Err):
-            problem = refuse_input("bad-submission", read.err_value)
-            await self._refuse(exchange, caller, problem)
-            return
-        submission = read.ok_value
-        wait_limit_s = const.ACCEPT_WAIT_LIMIT_S
-        if caller.deadline_s is not None:
-            share_s = caller.deadline_s * const.ACCEPT_WAIT_SHARE
-            wait_limit_s = min(wait_limit_s, share_s)
-        started_at = trio.current_time()
-        accepted = await self._store_submission(submission, wait_limit_s)
-        self._metrics.observe("accept", trio.current_time() - started_at)
-        match accepted:
-            case Ok(new):
-                log_event(
-                    "submission_accepted",
-                    submission=submission.id,
-                    step=submission.step,
-                    model=submission.model,
-                    items=len(submission.items),
-                    new=new,
-                )
-                await exchange.send_response(202, _JSON_HEADERS, b"{}")
-            case Err(error) if error.fault is KvFault.UNKNOWN:
-                problem = report_unknown_outcome("not-settled", error.detail)
-                await self._refuse(exchange, caller, problem)
-            case Err(error):
-                problem = refuse_not_run("store-away", error.detail)
-                await self._refuse(exchange, caller, problem)
-
-    async def _store_submission(
-        self, submission: Submission, wait_limit_s: float
-    ) -> Result[bool, KvError]:
-        """Store a submission, retrying for `wait_limit_s`.
-
-        Return whether it is new. An attempt with unknown outcome decides
-        over later refusals, which say nothing about that attempt.
-        """
-        retry_until = trio.current_time() + wait_limit_s
-        unknown_outcome: Err[KvError] | None = None
-        while True:
-            accepted = await self._archive.store_submission(submission)
-            if isinstance(accepted, Ok):
-                return accepted
-            if accepted.err_value.fault is KvFault.UNKNOWN:
-                unknown_outcome = accepted
-            if trio.current_time() >= retry_until:
-                return unknown_outcome or accepted
-            await trio.sleep(const.STORE_RETRY_DELAY_S)
-
-    async def _serve_results(
-        self, call: ResultsRequest, caller: CallerHeaders, exchange: CallerSink
-    ) -> None:
-        """Send the results after a position."""
-        found = await self._reader.read(
-            call.submission, call.after, call.wait_s
-        )
-        if isinstance(found, Err):
-            problem = _describe_failed_read(found.err_value)
-            await self._refuse(exchange, caller, problem, call.submission)
-        elif found.ok_value is None:
-            await self._refuse(
-                exchange, caller, _UNKNOWN_SUBMISSION, call.submission
-            )
-        else:
-            body = encode_results(found.ok_value, call.after)
-            await exchange.send_response(200, _JSON_HEADERS, body)
-
-    async def _serve_body(
-        self,
-        call: ItemBodyRequest,
-        caller: CallerHeaders,
-        exchange: CallerSink,
-    ) -> None:
-        """Send an item's body."""
-        found = await self._reader.read_body(call.submission, call.item)
-        if isinstance(found, Err):
-            problem = refuse_not_run("store-away", found.err_value.detail)
-            await self._refuse(exchange, caller, problem, call.submission)
-        elif found.ok_value is None:
-            await self._refuse(
-                exchange, caller, _UNKNOWN_SUBMISSION, call.submission
-            )
-        else:
-            await exchange.send_response(200, [], found.ok_value)
-
-    async def _end_submission(
-        self, submission: str, caller: CallerHeaders, exchange: CallerSink
-    ) -> None:
-        """End a submission; the end is durable before the response."""
-        known = await self._reader.exists(submission)
-        if isinstance(known, Ok) and not known.ok_value:
-            await self._refuse(
-                exchange, caller, _UNKNOWN_SUBMISSION, submission
-            )
-            return
-        retry_until = trio.current_time() + const.END_WAIT_LIMIT_S
-        while isinstance(known, Ok):
-            if (await self._archive.mark_ended(submission)).is_ok():
-                log_event("submission_end_stored", submission=submission)
-                await exchange.send_response(200, _JSON_HEADERS, b"{}")
-                return
-            if trio.current_time() >= retry_until:
-                break
-            await trio.sleep(const.STORE_RETRY_DELAY_S)
-        problem = refuse_not_run("store-away", "the end was not stored")
-        await self._refuse(exchange, caller, problem, submission)
-
-    async def _refuse(
-        self,
-        exchange: CallerSink,
-        caller: CallerHeaders,
-        problem: Problem,
-        submission: str = "",
-        expected_s: float | None = None,
-        retry_after_s: float | None = None,
-    ) -> None:
-        """Send a problem, and count and log it.
-
-        `expected_s` is when the caller can be served, if that is known;
-        `retry_after_s` is when it may be, and not sooner.
-        """
-        self._metrics.count(f"refused_{problem.kind}")
-        log_event(
-            "request_refused",
-            request=caller.id,
-            submission=submission,
-            status=problem.status,
-            kind=problem.kind,
-            detail=problem.detail,
-            configuration=self._directory.table.version,
-        )
-        headers = [
-            (n, v) for n, v in problem.make_headers() if n != "Retry-After"
-        ]
-        if problem.retry_after_s is not None:
-            wait_s = retry_after_s or self._find_wait_s(expected_s)
-            headers.append(("Retry-After", str(round(wait_s, 2))))
-        await exchange.send_response(
-            problem.status, headers, problem.encode_body()
-        )
-
-    def _find_wait_s(self, expected_s: float | None) -> float:
-        """Return the seconds after which a caller should come back."""
-        mirror = self._directory.configuration_mirror
-        outage_s = mirror.compute_outage_s(trio.current_time())
-        return choose_retry_after_s(expected_s, outage_s, self._rng)
-
-
-def _describe_failed_read(error: KvError) -> Problem:
-    """Return the problem for results that can't be read."""
-    if error.fault is KvFault.DAMAGED:
-        return Problem(500, "submission-damaged", error.detail)
-    return refuse_not_run("store-away", error.detail)
-
 
-_UNKNOWN_SUBMISSION = refuse_input(
-    "unknown-submission", "no submission has this id", 404
-)
+def _describe_refused_key(refusal: KeyRefusal) -> Problem:
+    """Return the problem for a key that isn't accepted."""
+    kind = refusal.fault.value
+    if refusal.fault is KeyFault.UNCONFIRMED:
+        return refuse_not_run(kind, refusal.detail)
+    return refuse_input(kind, refusal.detail, STATUS_UNAUTHORIZED)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations: their keys, names and priorities."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/organisations/keys.py
@@ -0,0 +1,45 @@
+"""Keys that callers send, and their digests."""
+
+from hashlib import sha256
+
+from result import Err
+from result import Ok
+from result import Result
+
+from ..adapters.http.models import Headers
+from . import const
+from .models import KeyFault
+from .models import KeyRefusal
+
+
+def compute_digest(key: bytes) -> bytes:
+    """Return the digest that stands for a key everywhere."""
+    return sha256(key).digest()
+
+
+def read_key(raw_headers: Headers) -> Result[bytes, KeyRefusal]:
+    """Return the bearer key of a call."""
+    values = [v for n, v in raw_headers if n.lower() == "authorization"]
+    if not values:
+        return _refuse(KeyFault.MISSING, "send Authorization: Bearer KEY")
+    if len(values) > 1:
+        return _refuse(KeyFault.DUPLICATED, "more than one Authorization")
+    scheme, _, key = values[0].strip().partition(" ")
+    key = key.lstrip(" ")
+    if scheme.lower() != const.SCHEME:
+        return _refuse(KeyFault.UNREADABLE, "Authorization is not Bearer")
+    if len(key) > const.MAX_KEY_CHARACTERS:
+        limit = f"over {const.MAX_KEY_CHARACTERS} characters"
+        return _refuse(KeyFault.OVERSIZED, limit)
+    if not key or any(c.isspace() or not c.isprintable() for c in key):
+        return _refuse(KeyFault.UNREADABLE, "the key is empty or has spaces")
+    try:
+        # The HTTP server decodes headers as Latin-1.
+        return Ok(key.encode("latin-1"))
+    except UnicodeEncodeError:
+        return _refuse(KeyFault.UNREADABLE, "the key is not a header's text")
+
+
+def _refuse(fault: KeyFault, detail: str) -> Err[KeyRefusal]:
+    """Return a refusal as an Err."""
+    return Err(KeyRefusal(fault, detail))
--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -3,6 +3,7 @@
 from base64 import b64decode
 from base64 import b64encode
 import binascii
+from collections.abc import Collection
 from dataclasses import dataclass
 from urllib.parse import unquote
 
@@ -20,6 +21,7 @@
 
 _LENGTH_HINT = "length-hint"
 _TOKEN_COUNTS = "token-counts"
+_ORGANISATION_HEADERS = (const.HEADER_AUTHORIZATION, const.HEADER_TENANT)
 
 
 class ScorerMessage(msgspec.Struct):
@@ -122,8 +124,16 @@
 SubmissionRequest = ResultsRequest | ItemBodyRequest | EndRequest
 
 
-def read_identity(request: HttpRequest) -> str:
-    """Return what names the caller in a request, empty without."""
+def read_identity(request: HttpRequest, organisation: str | None) -> str:
+    """Return what names the caller in a request, empty without.
+
+    That is the organisation's name, so that any of its keys will do. None:
+    no organisations are configured; empty: a public call.
+    """
+    if organisation:
+        return f"organisation\0{organisation}"
+    if organisation is not None:
+        return request.headers.get(const.HEADER_API_KEY, "")
     return "\0".join(
         request.headers.get(name, "") for name in const.CALLER_HEADERS
     )
@@ -182,12 +192,20 @@
 
 
 def read_submission(
-    request: HttpRequest, caller: CallerHeaders, arrived_s: float
+    request: HttpRequest,
+    caller: CallerHeaders,
+    arrived_s: float,
+    organisation: str | None = None,
 ) -> Result[Submission, str]:
-    """Read a submission that arrived at a wall-clock time in seconds."""
+    """Read a submission that arrived at a wall-clock time in seconds.
+
+    With organisations its items lose the headers that name one or have a
+    key, which must not be stored.
+    """
+    dropped = _ORGANISATION_HEADERS if organisation is not None else ()
     try:
         message = msgspec.json.decode(request.body, type=SubmissionMessage)
-        items = [_read_item(item) for item in message.items]
+        items = [_read_item(item, dropped) for item in message.items]
     except (msgspec.MsgspecError, binascii.Error) as error:
         return Err(str(error))
     return Ok(
@@ -201,6 +219,7 @@
             message.targetGroups,
             items,
             arrived_s,
+            organisation or "",
         )
     )
 
@@ -246,8 +265,11 @@
     )
 
 
-def _read_item(message: ItemMessage) -> Item:
-    """Convert an item; raises binascii.Error for a bad body."""
+def _read_item(message: ItemMessage, dropped: Collection[str]) -> Item:
+    """Convert an item; raises binascii.Error for a bad body.
+
+    The headers `dropped` are left out.
+    """
     scorer = message.scorer
     headers = {name.lower(): v for name, v in message.headers.items()}
     counts = headers.get(_TOKEN_COUNTS, "").rpartition(",")[2]
@@ -255,7 +277,11 @@
     return Item(
         message.id,
         message.path,
-        list(message.headers.items()),
+        [
+            (n, v)
+            for n, v in message.headers.items()
+            if n.lower() not in dropped
+        ],
         b64decode(message.body, validate=True),
         message.group or message.id,
         expected or message.tokens,
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -33,7 +33,10 @@
 HEADER_DEADLINE_MS: Final = "deadline-ms"
 HEADER_WAIT_MS: Final = "wait-ms"
 HEADER_RESUMES: Final = "resumes"
-CALLER_HEADERS: Final = ("authorization", "api-key", "tenant")
+HEADER_AUTHORIZATION: Final = "authorization"
+HEADER_API_KEY: Final = "api-key"
+HEADER_TENANT: Final = "tenant"
+CALLER_HEADERS: Final = (HEADER_AUTHORIZATION, HEADER_API_KEY, HEADER_TENANT)
 
 # Samplers
 PATH_REPORT: Final = "/report"
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -11,6 +11,8 @@
 from ..routing.models import RouteTable
 from ..routing.models import UpstreamConfig
 from ..routing.models import UpstreamShare
+from .organisations import read_organisations
+from .organisations import TenantMessage
 
 _KINDS_BY_NAME = {kind.value: kind for kind in CallKind}
 
@@ -40,6 +42,7 @@
     resultDueMs: float = 0
     maxAgeS: float = 0
     singleVersion: bool = False
+    public: bool = False
 
 
 class ModelMessage(msgspec.Struct):
@@ -78,6 +81,7 @@
     routes: list[RouteMessage]
     services: list[ServiceMessage]
     limits: LimitsMessage
+    tenants: list[TenantMessage] | None = None
 
 
 class NamedVersionMessage(msgspec.Struct):
@@ -91,7 +95,8 @@
     """Decode the configuration; the Err says what is invalid."""
     try:
         message = msgspec.json.decode(value, type=ConfigMessage)
-    except msgspec.MsgspecError as error:
+        organisations = read_organisations(message.tenants or [])
+    except (msgspec.MsgspecError, ValueError) as error:
         return Err(str(error))
     routes = tuple(_read_route(route) for route in message.routes)
     upstreams = {s.name: _read_upstream(s) for s in message.services}
@@ -101,7 +106,9 @@
         message.limits.headerTimeoutMs / 1000,
         message.limits.idleTimeoutMs / 1000,
     )
-    return Ok(RouteTable(message.version, routes, upstreams, limits))
+    return Ok(
+        RouteTable(message.version, routes, upstreams, limits, organisations)
+    )
 
 
 def read_named_version(value: bytes) -> Result[tuple[str, int], str]:
@@ -133,6 +140,7 @@
         message.resultDueMs / 1000,
         message.maxAgeS,
         message.singleVersion,
+        message.public,
     )
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -18,7 +18,6 @@
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
-from ..adapters.http.models import Headers
 from . import const
 from ..const import MEBIBYTE
 from ..ports.sampler import InstanceLoad
@@ -33,6 +32,8 @@
 from ..ports.upstream import UpstreamNotSentError
 from ..routing.instances import ListedInstance
 from .instances import HeldModelMessage
+from .sampler_headers import make_headers
+from .sampler_headers import strip_hop_by_hop_headers
 
 # The network delay within a region is 1 ms; a retransmission takes 1 s.
 CONNECT_TIMEOUT_S: Final = 0.3
@@ -43,28 +44,6 @@
 MAX_REPORT_BYTES: Final = MEBIBYTE
 MAX_EVENT_BYTES: Final = MEBIBYTE
 
-_HOP_BY_HOP_HEADERS: Final = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-_RESERVED_HEADERS: Final = _HOP_BY_HOP_HEADERS | {
-    const.HEADER_DEADLINE_MS,
-    const.HEADER_REQUEST_ID,
-    const.HEADER_EXPECT_INSTANCE.lower(),
-    const.HEADER_EXPECT_VERSION.lower(),
-    const.HEADER_LAST_EVENT_ID.lower(),
-    const.HEADER_REQUEST_PRIORITY.lower(),
-}
 _WRONG_INSTANCE: Final = 421
 _DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _NOT_RUN_STATUSES: Final = frozenset((_WRONG_INSTANCE,))
@@ -182,7 +161,7 @@
         Raises UpstreamNotSentError and UpstreamError.
         """
         pool = self._find_pool(instance)
-        headers = _make_headers(instance, call)
+        headers = make_headers(instance, call)
         sent_at = trio.current_time()
         try:
             async with pool.request(
@@ -332,30 +311,6 @@
         return pool
 
 
-def strip_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Return the end-to-end headers."""
-    return [(n, v) for n, v in headers if n.lower() not in _HOP_BY_HOP_HEADERS]
-
-
-def _make_headers(instance: ListedInstance, call: SamplerCall) -> Headers:
-    """Return the headers of a call: the caller's and this service's."""
-    headers = [
-        (n, v) for n, v in call.headers if n.lower() not in _RESERVED_HEADERS
-    ]
-    if call.request_id:
-        headers.append(("Request-Id", call.request_id))
-    headers.append((const.HEADER_EXPECT_INSTANCE, instance.name))
-    headers.append(("Deadline-Ms", str(max(1, int(call.remaining_s * 1000)))))
-    if call.expected_version is not None:
-        version = str(call.expected_version)
-        headers.append((const.HEADER_EXPECT_VERSION, version))
-    if call.after_event is not None:
-        headers.append((const.HEADER_LAST_EVENT_ID, str(call.after_event)))
-    if call.priority is not None:
-        headers.append((const.HEADER_REQUEST_PRIORITY, str(call.priority)))
-    return headers
-
-
 def _read_number(text: str | None) -> int | None:
     """Parse a decimal integer, None for anything else."""
     if text is None or not text.strip().isdecimal():
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -23,6 +23,8 @@
     `expected_version` refuses the call. `after_event` resumes a stream after
     that event. At an instance that named a limit, calls with a lower
     `urgency` number go first, and this one waits for at most `max_wait_s`.
+    `organisation` is the name of the one it belongs to: empty for a public
+    call, None when no organisations are configured.
     """
 
     request_id: str
@@ -36,6 +38,7 @@
     priority: int | None = None
     urgency: int = 0
     max_wait_s: float = 0.0
+    organisation: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/routing/models.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/models.py
@@ -4,6 +4,8 @@
 from dataclasses import field
 from enum import Enum
 
+from ..organisations.models import OrganisationTable
+
 
 class CallKind(Enum):
     """Kind of a route's calls, which decides whether they are repeated."""
@@ -28,7 +30,7 @@
     `timeout_s` bounds how long a caller waits, `target_latency_s` is the time
     up to which a response keeps its full value. `result_due_s` and
     `max_age_s` count from the first arrival of a submission. `priority` 0 is
-    the most urgent.
+    the most urgent. Calls on a `public` route need no key.
     """
 
     name: str
@@ -45,6 +47,7 @@
     result_due_s: float = 0.0
     max_age_s: float = 0.0
     single_version: bool = False
+    public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -81,13 +84,15 @@
 class RouteTable:
     """One version of the operator's configuration, numbered from 1.
 
-    Version 0 stands for none: the table is empty then.
+    Version 0 stands for none: the table is empty then. `organisations` is
+    None unless some are configured.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     upstreams: dict[str, UpstreamConfig] = field(default_factory=dict)
     limits: CallerLimits | None = None
+    organisations: OrganisationTable | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix; None without."""
--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -57,7 +57,10 @@
             )
         key = make_submission_key(submission.id)
         head = SubmissionHead(
-            len(parts), submission.model, submission.arrived_s
+            len(parts),
+            submission.model,
+            submission.arrived_s,
+            submission.organisation,
         )
         puts = [KvPut(key, msgspec.msgpack.encode(head))]
         puts += [
@@ -86,6 +89,17 @@
         head = decode_head(item.ok_value.value)
         return await self.read_parts(submission, head.parts)
 
+    async def find_owner(self, submission: str) -> Result[str | None, KvError]:
+        """Return a submission's organisation; None without a submission."""
+        item = await self.kv.get_item(make_submission_key(submission))
+        return item.map(
+            lambda found: (
+                decode_head(found.value).organisation
+                if found is not None
+                else None
+            )
+        )
+
     async def read_parts(
         self, submission: str, parts: int
     ) -> Result[Submission, KvError]:
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -9,6 +9,7 @@
 from ..directory.coordinator import Directory
 from ..forwarding.health import InstanceHealth
 from ..limits.coordinator import InstanceLimits
+from ..organisations.decisions import find_owners_route
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
@@ -318,10 +319,9 @@
         return candidates
 
     def _find_urgency(self, submission: SubmissionState) -> int:
-        """Return the priority of a submission's route, 0 without one."""
-        route = self._directory.table.find_route(
-            submission.submission.host, submission.submission.path
-        )
+        """Return the priority of a submission, 0 without a route."""
+        found = submission.submission
+        route = find_owners_route(self._directory.table, found, found.path)
         return 0 if route is None else route.priority
 
     def _count_free_slots(self, instance: ListedInstance, now: float) -> int:
@@ -350,8 +350,8 @@
     ) -> None:
         """Run an item once; without a result it waits again."""
         result = None
-        route = self._directory.table.find_route(
-            submission.submission.host, state.item.path
+        route = find_owners_route(
+            self._directory.table, submission.submission, state.item.path
         )
         state.cancel_scope = trio.CancelScope()
         holds_slot = True
--- a/packages/pistachiospar/src/pistachiospar/submissions/models.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/models.py
@@ -34,6 +34,8 @@
 
     `min_version` is the oldest weight version that may generate them;
     `arrived_s` is the wall-clock time of the first arrival, in seconds.
+    `organisation` is empty when none was configured then, or on a public
+    route; builds before this one don't write it.
     """
 
     id: str
@@ -45,6 +47,7 @@
     target_groups: int
     items: list[Item]
     arrived_s: float
+    organisation: str = ""
 
 
 class SubmissionHead(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +59,7 @@
     parts: int
     model: str
     arrived_s: float
+    organisation: str = ""
 
 
 class SampleResult(msgspec.Struct, frozen=True, array_like=True):
@@ -73,7 +77,11 @@
 
 
 class ResultPage(msgspec.Struct, frozen=True, array_like=True):
-    """Results from a position on; `total` is the number of items."""
+    """Results from a position on; `total` is the number of items.
+
+    `organisation` is the submission's, None from a gateway of an older build.
+    """
 
     total: int
     results: list[SampleResult]
+    organisation: str | None = None
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -14,6 +14,7 @@
 import trio
 
 from . import const
+from ..organisations.decisions import may_access
 from ..pool_holders.coordinator import HolderCoordinator
 from ..ports.kv import KvError
 from ..ports.submissions import SubmissionPeer
@@ -52,43 +53,68 @@
         self._cache: OrderedDict[str, CachedSubmission] = OrderedDict()
 
     async def read_local(
-        self, submission: str, after: int, wait_s: float
+        self,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> ResultPage | None:
         """Return results from memory; None when it is not loaded here.
 
-        Waits for a result at position `after` or later for up to `wait_s`, at
-        most MAX_LONG_POLL_S.
+        Also None, at once, when it is another organisation's. Waits for a
+        result at position `after` or later for up to `wait_s`, at most
+        MAX_LONG_POLL_S.
         """
         state = self._find_state(submission)
         if state is None:
             return None
+        owner = state.submission.organisation
+        if not may_access(owner, organisation):
+            return None
         with trio.move_on_after(min(wait_s, const.MAX_LONG_POLL_S)):
             while len(state.committed) <= after and state.is_open():
                 await state.results_changed.wait()
-        return ResultPage(len(state.items), make_page(state.committed, after))
+        page = make_page(state.committed, after)
+        return ResultPage(len(state.items), page, owner)
 
-    def read_local_body(self, submission: str, item: str) -> bytes | None:
+    def _read_local_body(
+        self, submission: str, item: str, organisation: str | None
+    ) -> bytes | None:
         """Return an item's body from memory; None when it is not there."""
         state = self._find_state(submission)
-        found = state.items.get(item) if state is not None else None
+        if state is None or not may_access(
+            state.submission.organisation, organisation
+        ):
+            return None
+        found = state.items.get(item)
         return found.item.body if found is not None else None
 
     async def read(
-        self, submission: str, after: int, wait_s: float
+        self,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> Result[ResultPage | None, KvError]:
-        """Return results; None when the submission certainly doesn't exist."""
-        page = await self.read_local(submission, after, wait_s)
+        """Return results.
+
+        None when the submission certainly doesn't exist or is another
+        organisation's.
+        """
+        page = await self.read_local(submission, after, wait_s, organisation)
         if page is None:
-            page = await self._query_holders(submission, after, wait_s)
+            page = await self._query_holders(
+                submission, after, wait_s, organisation
+            )
         if page is not None:
             return Ok(page)
-        return await self._read_record(submission, after)
+        return await self._read_record(submission, after, organisation)
 
     async def _read_record(
-        self, submission: str, after: int
+        self, submission: str, after: int, organisation: str | None
     ) -> Result[ResultPage | None, KvError]:
         """Return results from the durable record."""
-        loaded = await self._load_cached(submission)
+        loaded = await self._load_cached(submission, organisation)
         if isinstance(loaded, Err):
             return loaded
         if loaded.ok_value is None:
@@ -101,16 +127,20 @@
             if len(results.ok_value) > len(cached.results):
                 cached.results = results.ok_value
         total = len(cached.submission.items)
-        return Ok(ResultPage(total, make_page(cached.results, after)))
+        owner = cached.submission.organisation
+        return Ok(ResultPage(total, make_page(cached.results, after), owner))
 
     async def read_body(
-        self, submission: str, item: str
+        self, submission: str, item: str, organisation: str | None
     ) -> Result[bytes | None, KvError]:
-        """Return an item's body; None when it certainly does not exist."""
-        body = self.read_local_body(submission, item)
+        """Return an item's body.
+
+        None when it certainly does not exist or is another organisation's.
+        """
+        body = self._read_local_body(submission, item, organisation)
         if body is not None:
             return Ok(body)
-        loaded = await self._load_cached(submission)
+        loaded = await self._load_cached(submission, organisation)
         if isinstance(loaded, Err):
             return loaded
         if loaded.ok_value is None:
@@ -120,15 +150,22 @@
                 return Ok(found.body)
         return Ok(None)
 
-    async def exists(self, submission: str) -> Result[bool, KvError]:
-        """Return whether a submission is held by a gateway or stored."""
-        if self._find_state(submission) is not None:
-            return Ok(True)
+    async def exists(
+        self, submission: str, organisation: str | None
+    ) -> Result[bool, KvError]:
+        """Return whether a submission is held by a gateway or stored.
+
+        Another organisation's doesn't exist.
+        """
+        state = self._find_state(submission)
+        if state is not None:
+            owner = state.submission.organisation
+            return Ok(may_access(owner, organisation))
         if submission not in self._cache:
-            page = await self._query_holders(submission, 0, 0.0)
+            page = await self._query_holders(submission, 0, 0.0, organisation)
             if page is not None:
                 return Ok(True)
-        loaded = await self._load_cached(submission)
+        loaded = await self._load_cached(submission, organisation)
         return loaded.map(lambda found: found is not None)
 
     def cache_submission(self, submission: Submission) -> None:
@@ -138,24 +175,54 @@
             self._cache.popitem(last=False)
 
     async def _query_holders(
-        self, submission: str, after: int, wait_s: float
+        self,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> ResultPage | None:
-        """Read results from the other gateways that hold a pool."""
+        """Read results from the other gateways that hold a pool.
+
+        A page whose organisation isn't known is of an older build, which
+        doesn't check it: the record decides.
+        """
         for pool in list(self._holders.holders):
             record = self._holders.find_remote_holder(pool)
             if record is None:
                 continue
             page = await self._peer.fetch_results(
-                record.peer, submission, after, wait_s
+                record.peer, submission, after, wait_s, organisation
             )
-            if page is not None:
+            if page is None:
+                continue
+            if organisation is None or (
+                page.organisation is not None
+                and may_access(page.organisation, organisation)
+            ):
                 return page
         return None
 
     async def _load_cached(
+        self, submission: str, organisation: str | None
+    ) -> Result[CachedSubmission | None, KvError]:
+        """Return a submission from the cache, otherwise from the store.
+
+        None for another organisation's.
+        """
+        loaded = await self._load_any_cached(submission)
+        return loaded.map(
+            lambda found: (
+                found
+                if found is not None
+                and may_access(found.submission.organisation, organisation)
+                else None
+            )
+        )
+
+    async def _load_any_cached(
         self, submission: str
     ) -> Result[CachedSubmission | None, KvError]:
-        """Return a submission from the cache, otherwise from the store."""
+        """Return any organisation's submission."""
         cached = self._cache.get(submission)
         if cached is not None:
             return Ok(cached)
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -1,7 +1,6 @@
 """One item's run: its stream, its resumption, its scoring call."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 
 import trio
 
@@ -23,6 +22,7 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .event_intervals import EventIntervals
 from .models import SampleResult
 from .registry import ItemPhase
 from .registry import ItemState
@@ -53,44 +53,6 @@
         self.timed_out = timed_out
 
 
-class EventIntervals:
-    """Moving average of the time between events, by instance, in seconds."""
-
-    def __init__(self) -> None:
-        self._intervals: dict[str, tuple[float, float]] = {}
-
-    def record_interval(
-        self, instance: str, interval_s: float, now: float
-    ) -> None:
-        """Record the time between two events of a stream."""
-        mean_s, _ = self._intervals.get(instance, (interval_s, now))
-        weight = const.EVENT_INTERVAL_EWMA_WEIGHT
-        self._intervals[instance] = (
-            mean_s + weight * (interval_s - mean_s),
-            now,
-        )
-
-    def retain_only(self, instances: Collection[str]) -> None:
-        """Drop the averages of all other instances."""
-        for name in [
-            name for name in self._intervals if name not in instances
-        ]:
-            del self._intervals[name]
-
-    def find_interval(self, instance: str, now: float) -> float:
-        """Return an instance's average; the lowest of all when unknown."""
-        known = self._intervals.get(instance)
-        if (
-            known is not None
-            and now - known[1] < const.EVENT_INTERVAL_MAX_AGE_S
-        ):
-            return known[0]
-        return min(
-            (interval_s for interval_s, _ in self._intervals.values()),
-            default=const.DEFAULT_EVENT_INTERVAL_S,
-        )
-
-
 class ItemRunner:
     """Run items and their scoring calls at instances."""
 
@@ -102,14 +64,19 @@
         find_route: FindRoute,
         record_version: Callable[[str, str, int], None],
         metrics: Metrics,
+        has_organisations: Callable[[], bool] = lambda: False,
     ) -> None:
-        """Initialize; `record_version` is called with each version seen."""
+        """Initialize; `record_version` is called with each version seen.
+
+        `has_organisations` returns whether some are configured.
+        """
         self._samplers = samplers
         self._forwarder = forwarder
         self._health = health
         self._find_route = find_route
         self._record_version = record_version
         self._metrics = metrics
+        self._has_organisations = has_organisations
         self._scoring = trio.CapacityLimiter(const.MIN_CONCURRENT_SCORES)
         self.event_intervals = EventIntervals()
 
@@ -206,6 +173,8 @@
             after_event=state.last_event or None,
             urgency=route.priority,
             max_wait_s=const.ITEM_PERMIT_WAIT_S,
+            organisation=submission.submission.organisation
+            or self._name_no_organisation(),
         )
         with trio.CancelScope() as event_timeout:
             event_timeout.deadline = (
@@ -228,6 +197,10 @@
             )
         return True
 
+    def _name_no_organisation(self) -> str | None:
+        """Return what a call has that belongs to no organisation."""
+        return "" if self._has_organisations() else None
+
     async def _handle_refusal(
         self, state: ItemState, response: SamplerResponse
     ) -> None:
@@ -360,6 +333,7 @@
                         now + const.SCORE_TIMEOUT_S,
                         1,
                         hedged=False,
+                        organisation=self._name_no_organisation(),
                     )
                 )
             pause_s = 0.0
