--- a/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -7,31 +7,16 @@
 from ..adapters.http.client import HttpStreamResponse
 from ..adapters.http.client import ReceiveBuffer
 from ..adapters.http.errors import HttpError
-from ..adapters.http.models import Headers
 from . import const
 from ..const import MEBIBYTE
 from ..ports.sampler import InstanceLoad
 from ..ports.sampler import StreamEvent
 from ..ports.upstream import UpstreamError
+from .sampler_headers import strip_hop_by_hop_headers
 
 MAX_EVENT_BYTES: Final = MEBIBYTE
 STATUS_WRONG_INSTANCE: Final = 421
 DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
-
-HOP_BY_HOP_HEADERS: Final = frozenset(
-    (
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 _COUNT_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 _NOT_RUN_STATUSES: Final = frozenset((STATUS_WRONG_INSTANCE,))
 
@@ -99,11 +84,6 @@
             raise UpstreamError("stream ended within an event")
 
 
-def strip_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Return the end-to-end headers."""
-    return [(n, v) for n, v in headers if n.lower() not in HOP_BY_HOP_HEADERS]
-
-
 def _read_number(text: str | None) -> int | None:
     """Parse a decimal integer, None for anything else."""
     if text is None or not text.strip().isdecimal():
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -16,7 +16,6 @@
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
-from ..adapters.http.models import Headers
 from . import const
 from ..const import MEBIBYTE
 from ..ports.sampler import InstanceLoad
@@ -31,8 +30,8 @@
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from .instances import HeldModelMessage
+from .sampler_headers import make_headers
 from .sampler_responses import DECIMAL_PATTERN
-from .sampler_responses import HOP_BY_HOP_HEADERS
 from .sampler_responses import parse_load
 from .sampler_responses import PlatformResponse
 from .sampler_responses import STATUS_WRONG_INSTANCE
@@ -46,14 +45,6 @@
 MAX_REPORT_BYTES: Final = MEBIBYTE
 MAX_LOGGED_HEADER: Final = 64
 
-_RESERVED_HEADERS: Final = HOP_BY_HOP_HEADERS | {
-    const.HEADER_DEADLINE_MS,
-    const.HEADER_REQUEST_ID,
-    const.HEADER_EXPECT_INSTANCE.lower(),
-    const.HEADER_EXPECT_VERSION.lower(),
-    const.HEADER_LAST_EVENT_ID.lower(),
-    const.HEADER_REQUEST_PRIORITY.lower(),
-}
 _ORDER_OUTCOMES: Final = {
     202: LoadOrderOutcome.ACCEPTED,
     200: LoadOrderOutcome.HOLDS,
@@ -110,7 +101,7 @@
         Raises UpstreamNotSentError and UpstreamError.
         """
         pool = self._find_pool(instance)
-        headers = _make_headers(instance, call)
+        headers = make_headers(instance, call)
         sent_at = trio.current_time()
         try:
             async with pool.request(
@@ -286,25 +277,6 @@
         return pool
 
 
-def _make_headers(instance: ListedInstance, call: SamplerCall) -> Headers:
-    """Return the headers of a call: the caller's and this service's."""
-    headers = [
-        (n, v) for n, v in call.headers if n.lower() not in _RESERVED_HEADERS
-    ]
-    if call.request_id:
-        headers.append(("Request-Id", call.request_id))
-    headers.append((const.HEADER_EXPECT_INSTANCE, instance.name))
-    headers.append(("Deadline-Ms", str(max(1, int(call.remaining_s * 1000)))))
-    if call.expected_version is not None:
-        version = str(call.expected_version)
-        headers.append((const.HEADER_EXPECT_VERSION, version))
-    if call.after_event is not None:
-        headers.append((const.HEADER_LAST_EVENT_ID, str(call.after_event)))
-    if call.priority is not None:
-        headers.append((const.HEADER_REQUEST_PRIORITY, str(call.priority)))
-    return headers
-
-
 def _read_limit(text: str | None) -> float | None:
     """Parse a number of requests a second, None for anything else."""
     if text is None or not DECIMAL_PATTERN.fullmatch(text.strip()):
