Pass the configuration on with digests; refuse keys that can't be checked

Cause: peers followed a source's configuration with its keys, and a gateway without contact to the store could neither know new keys nor removed ones.

Change: values are concealed where a mirror receives them from the store and in replies to calls that peers relay. A key that the configuration lacks gets 503 once the store hasn't been in contact for configApplyMs, else 401. With `strictRevoke`, each key gets 503 once the configuration isn't proven to be of the last revokeMs less 0.5 s, by the clock since boot; followers get the age from their source.

--- a/features/support/platform_decoding.py
+++ b/features/support/platform_decoding.py
@@ -14,8 +14,10 @@
 from pistachiospar.platform.callers import read_submission_request
 from pistachiospar.platform.instances import read_instance
 from pistachiospar.platform.manifest import read_table
+from pistachiospar.platform.settings import GatewaySettings
 from pistachiospar.platform.settings import read_gateway
 from result import Err
+from result import Result
 
 REGISTRATION = (
     b'{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,'
@@ -66,12 +68,17 @@
     return str(read_submission_request(request))
 
 
-def decode_settings(text: str) -> str:
-    """Decode a settings file; return its node and address, or the error."""
+def read_settings(text: str) -> Result[GatewaySettings, str]:
+    """Read a settings file of a text."""
     with TemporaryDirectory() as folder:
         file = Path(folder, "node.yaml")
         file.write_text(text, encoding="utf-8")
-        read = read_gateway(str(file))
+        return read_gateway(str(file))
+
+
+def decode_settings(text: str) -> str:
+    """Decode a settings file; return its node and address, or the error."""
+    read = read_settings(text)
     if isinstance(read, Err):
         return "refused: " + read.err_value.rpartition("node.yaml: ")[2][:40]
     return f"{read.ok_value.name} {read.ok_value.peer}"
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -14,6 +14,7 @@
 from pistachiospar.limits.const import PERMIT_TIMEOUT_S
 from pistachiospar.limits.messages import PermitCall
 from pistachiospar.limits.messages import PermitReply
+from pistachiospar.organisations.models import KeyRules
 from pistachiospar.platform import const
 from pistachiospar.platform.directory import PLATFORM_KEYS
 from pistachiospar.pool_holders.clock import Clocks
@@ -68,7 +69,7 @@
     """The size and settings of a small fleet of gateways.
 
     `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream.
+    plain upstream, `tenants` the organisations and their keys.
     """
 
     gateways: int = 3
@@ -83,6 +84,9 @@
     result_retention_s: float = 120.0
     resumable: bool = True
     is_first_start: bool = False
+    tenants: list[dict[str, object]] = field(default_factory=list)
+    public_routes: tuple[str, ...] = ()
+    key_rules: KeyRules = field(default_factory=KeyRules)
     faults: KvFaultSet = field(default_factory=KvFaultSet)
 
 
@@ -101,7 +105,9 @@
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
         is_lost = running.coordinator.watch_relay.is_store_lost()
-        return await execute_for_peer(running.kv, call, is_lost)
+        return await execute_for_peer(
+            running.kv, call, is_lost, PLATFORM_KEYS.conceal
+        )
 
     async def follow(
         self, address: str, call: FollowCall
@@ -227,6 +233,7 @@
                 MAX_VALUE_BYTES,
                 self.plan.result_retention_s,
                 is_first_start=self._is_first_start,
+                key_rules=self.plan.key_rules,
             ),
             PLATFORM_KEYS,
             kv,
@@ -320,6 +327,8 @@
                 "singleVersion": self.plan.single_version,
             },
         ]
+        for route in routes:
+            route["public"] = route["name"] in self.plan.public_routes
         models = [{"name": model} for model in self.plan.models]
         services = [
             {"name": POOL, "maxConns": 100, "engine": {"models": models}},
@@ -331,6 +340,7 @@
                 "routes": routes,
                 "services": services,
                 "limits": {},
+                "tenants": self.plan.tenants,
             }
         )
         self._write(const.KEY_CONFIG, value)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
@@ -47,7 +47,8 @@
     """The start of a run; the time is in seconds.
 
     `after_event` is the event that it goes on from, None for a new run;
-    `software` the version of the instance's software.
+    `software` the version of the instance's software. `organisation` and
+    `urgency` are the call's.
     """
 
     started_at: float
@@ -56,6 +57,8 @@
     gateway: str
     after_event: int | None = None
     software: str = ""
+    organisation: str | None = None
+    urgency: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -310,6 +310,8 @@
             self._gateway,
             call.after_event,
             sampler.software,
+            call.organisation,
+            call.urgency,
         )
         self._cluster.runs.append(record)
         if call.body in self._cluster.crashing_bodies:
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -43,11 +43,13 @@
         follow: FollowServer,
         acquire_permit: Callable[[PermitCall], PermitReply],
         origins: StreamOrigins,
+        conceal: Callable[[str, bytes], bytes],
     ) -> None:
         """Serve results of `read_local`, calls to `kv`, followers, permits.
 
         Also copies of `origins` and questions about them. Calls to `kv` are
-        refused while `is_store_lost` returns True.
+        refused while `is_store_lost` returns True; `conceal` removes secrets
+        from the values that they return.
         """
         self._is_store_lost = is_store_lost
         self._read_local = read_local
@@ -55,13 +57,16 @@
         self._follow = follow
         self._acquire_permit = acquire_permit
         self._origins = origins
+        self._conceal = conceal
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one call of another gateway."""
         if request.path == const.PATH_KV:
             call = msgspec.msgpack.decode(request.body, type=KvCall)
             is_lost = self._is_store_lost()
-            reply = await execute_for_peer(self._kv, call, is_lost)
+            reply = await execute_for_peer(
+                self._kv, call, is_lost, self._conceal
+            )
             await exchange.send_response(
                 200, [], msgspec.msgpack.encode(reply)
             )
--- a/packages/pistachiospar/src/pistachiospar/directory/const.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from ..const import MEBIBYTE
+
 RETRY_INITIAL_S: Final = 0.05
 RETRY_MAX_S: Final = 0.5
 # Changes close together are fetched by one call; a change must be known well
@@ -19,3 +21,5 @@
 # Changes that a history keeps for followers; one that lacks more than these
 # gets a snapshot.
 MAX_HISTORY_CHANGES: Final = 256
+# A configuration with many organisations has up to 1 MB.
+MAX_HISTORY_BYTES: Final = 4 * MEBIBYTE
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -7,6 +7,9 @@
 import trio
 
 from . import const
+from ..organisations.models import choose_watch_wait_s
+from ..organisations.models import ConfigurationAge
+from ..organisations.models import KeyRules
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
 from ..routing.instances import ListedInstance
@@ -35,10 +38,14 @@
         keys: DirectoryKeys,
         metrics: Metrics,
         rng: Random,
+        key_rules: KeyRules,
+        read_boot_s: Callable[[], float],
     ) -> None:
         """Start with an empty route table of version 0.
 
         The mirrors that the watch relay keeps up to date call `direct_kv`.
+        Where `key_rules` need it, the age of the configuration is proven by
+        the clock `read_boot_s`, which counts suspensions.
         """
         self._kv = kv
         self._keys = keys
@@ -57,7 +64,12 @@
             keys.key_config,
             self._apply_operator_event,
             rng,
+            wait_s=choose_watch_wait_s(key_rules),
             keep_history=True,
+            conceal=keys.conceal,
+            read_boot_s=(
+                read_boot_s if key_rules.revoke_after_s is not None else None
+            ),
         )
         self.instance_mirror = PrefixMirror(
             direct_kv,
@@ -90,12 +102,13 @@
         """Return whether a configuration is in force."""
         return self.table.version > 0
 
-    def compute_configuration_age_s(self, now: float) -> float:
-        """Return how long ago no newer configuration was known to exist."""
-        last_at = self.configuration_mirror.last_success_at
-        if last_at is None or self.configuration_mirror.failures:
-            return float("inf")
-        return now - last_at
+    def compute_configuration_age(self, now: float) -> ConfigurationAge:
+        """Return how long ago the configuration was the newest one."""
+        mirror = self.configuration_mirror
+        proven_s = mirror.compute_proven_age_s()
+        if mirror.last_success_at is None or mirror.failures:
+            return ConfigurationAge(float("inf"), proven_s)
+        return ConfigurationAge(now - mirror.last_success_at, proven_s)
 
     async def wait_for_configuration(self, timeout_s: float) -> bool:
         """Wait for configuration and instances for at most `timeout_s`.
--- a/packages/pistachiospar/src/pistachiospar/directory/history.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/history.py
@@ -42,6 +42,7 @@
         self._items = {item.key: item for item in items}
         self._changes: deque[KvEvent] = deque()
         self._number = 0
+        self._size_bytes = 0
         # Changes up to this revision may be missing from `_changes`.
         self._dropped_revision = 0
         self.record_listing(items, revision)
@@ -61,15 +62,20 @@
         )
 
     def record(self, event: KvEvent) -> None:
-        """Append one change and drop the oldest beyond the limit."""
+        """Append one change and drop the oldest beyond the limits."""
         if event.value is None:
             self._items.pop(event.key, None)
         else:
             self._items[event.key] = event
         self._changes.append(event)
         self._number += 1
-        while len(self._changes) > const.MAX_HISTORY_CHANGES:
+        self._size_bytes += len(event.value or b"")
+        while len(self._changes) > const.MAX_HISTORY_CHANGES or (
+            self._size_bytes > const.MAX_HISTORY_BYTES
+            and len(self._changes) > 1
+        ):
             dropped = self._changes.popleft()
+            self._size_bytes -= len(dropped.value or b"")
             self._dropped_revision = max(
                 self._dropped_revision, dropped.revision
             )
--- a/packages/pistachiospar/src/pistachiospar/directory/mirror.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/mirror.py
@@ -19,6 +19,9 @@
 from .history import HistoryPosition
 from .history import PrefixHistory
 
+# A key and its value; returns the value without secrets.
+Conceal = Callable[[str, bytes], bytes]
+
 
 class PrefixMirror:
     """Follow the keys below a prefix and report each change once, in order.
@@ -31,7 +34,8 @@
     of the last one. `last_success_at` is None before the first response,
     `last_failure_at`, when the last call that failed was sent, before the
     first failure; `regained_at` is when calls last succeeded again. All are
-    in monotonic seconds.
+    in monotonic seconds. All changes before `proven_at` are known for
+    certain, by the clock `read_boot_s`; without that clock it isn't kept.
     """
 
     def __init__(
@@ -43,12 +47,15 @@
         batch_delay_s: float = 0.0,
         wait_s: float = WATCH_POLL_TIMEOUT_S,
         keep_history: bool = False,
+        conceal: Conceal | None = None,
+        read_boot_s: Callable[[], float] | None = None,
     ) -> None:
         """Call `on_event` for each change.
 
         After events, the watch pauses for `batch_delay_s`, so that changes
         close together come in one response. `wait_s` is how long one call of
-        the watch waits for changes.
+        the watch waits for changes. `conceal` returns a key's value as it is
+        reported and passed on, without secrets.
         """
         self._kv = kv
         self.prefix = prefix
@@ -57,6 +64,9 @@
         self._batch_delay_s = batch_delay_s
         self._wait_s = wait_s
         self._keep_history = keep_history
+        self._conceal = conceal
+        self.read_boot_s = read_boot_s
+        self.proven_at = float("-inf")
         self._backoff = Backoff(const.RETRY_INITIAL_S, const.RETRY_MAX_S)
         self.revisions: dict[str, int] = {}
         self.complete_revision = 0
@@ -117,16 +127,25 @@
             )
         ) as watch:
             sent_at = trio.current_time()
+            sent_boot_s = self._read_boot_s()
             async for events in watch:
                 if isinstance(events, Err):
                     self._end_watch(events.err_value, sent_at)
                     return
                 self.record_contact(trio.current_time())
-                self._apply_changes(events.ok_value)
-                if events.ok_value:
+                changes = [self._conceal_event(e) for e in events.ok_value]
+                self._apply_changes(changes)
+                if not changes and self._read_boot_s() >= (
+                    sent_boot_s + self._wait_s
+                ):
+                    # The service waited for changes all the time.
+                    sent_boot_s += self._wait_s
+                self.record_proof(sent_boot_s)
+                if changes:
                     self._notify_listeners()
                     await trio.sleep(self._batch_delay_s)
                 sent_at = trio.current_time()
+                sent_boot_s = self._read_boot_s()
 
     def _end_watch(self, error: KvError, sent_at: float) -> None:
         """Record why a watch ended; a dropped history is no failure."""
@@ -139,14 +158,19 @@
     async def list_once(self) -> bool:
         """List all keys and apply what changed; return whether that worked."""
         sent_at = trio.current_time()
+        sent_boot_s = self._read_boot_s()
         listing = await self._kv.list_items(self.prefix)
         if isinstance(listing, Err):
             self.record_failure(listing.err_value.detail, sent_at)
             return False
         self.record_contact(trio.current_time())
         listed, self._listed_revision = listing.ok_value
-        items = [KvEvent(i.key, i.value, i.revision) for i in listed]
+        items = [
+            self._conceal_event(KvEvent(i.key, i.value, i.revision))
+            for i in listed
+        ]
         self._apply_listing(items, self._listed_revision)
+        self.record_proof(sent_boot_s)
         self.listed_at = trio.current_time()
         self._source_position = HistoryPosition()
         if self.history is not None:
@@ -205,6 +229,31 @@
         self.failures = 0
         self.last_success_at = max(at, self.last_success_at or at)
 
+    def record_proof(self, boot_s: float) -> None:
+        """Record that all changes before a time since boot are known."""
+        if self.read_boot_s is not None:
+            self.proven_at = max(self.proven_at, boot_s)
+
+    def compute_proven_age_s(self) -> float:
+        """Return how long ago all changes were certainly known, 0 if unkept.
+
+        Infinite before the first proof.
+        """
+        if self.read_boot_s is None:
+            return 0.0
+        return self.read_boot_s() - self.proven_at
+
+    def _read_boot_s(self) -> float:
+        """Return the time since boot, 0 without that clock."""
+        return self.read_boot_s() if self.read_boot_s is not None else 0.0
+
+    def _conceal_event(self, event: KvEvent) -> KvEvent:
+        """Return a change without secrets."""
+        if self._conceal is None or event.value is None:
+            return event
+        value = self._conceal(event.key, event.value)
+        return KvEvent(event.key, value, event.revision)
+
     def record_failure(self, detail: str, sent_at: float) -> None:
         """Record a call that failed, and when it was sent."""
         if not self.failures:
--- a/packages/pistachiospar/src/pistachiospar/directory/models.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/models.py
@@ -14,6 +14,7 @@
     """The keys that the platform, operator and trainers write.
 
     The `read_` functions decode a key's value; an Err says why they can't.
+    `conceal` returns a key's value without secrets.
     """
 
     prefix_operator: str
@@ -25,4 +26,5 @@
     read_table: Callable[[bytes], Result[RouteTable, str]]
     read_named_version: Callable[[bytes], Result[tuple[str, int], str]]
     read_instance: Callable[[str, bytes], Result[ListedInstance, str]]
+    conceal: Callable[[str, bytes], bytes]
     encode_retired: Callable[[], bytes]
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -107,7 +107,15 @@
             self.metrics,
             rng,
         )
-        self.directory = Directory(self.kv, direct_kv, keys, self.metrics, rng)
+        self.directory = Directory(
+            self.kv,
+            direct_kv,
+            keys,
+            self.metrics,
+            rng,
+            identity.key_rules,
+            clocks.read_boot_s,
+        )
         self._samplers.report_leaving = self.directory.record_leaving
         role_leases = RoleLeaseManager(
             self.kv, record, identity.lease_s, clocks.read_boot_s
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -14,6 +14,7 @@
 from ..adapters.http.server import HttpServer
 from . import const
 from ..const import MEBIBYTE
+from ..organisations.models import make_key_rules
 from ..platform.directory import PLATFORM_KEYS
 from ..platform.samplers import PlatformSamplerClient
 from ..platform.settings import GatewaySettings
@@ -60,6 +61,7 @@
                 settings.result_retention_s,
                 settings.cpu_capacity,
                 settings.is_first_start,
+                make_key_rules(settings.config_apply_s, settings.revoke_s),
             ),
             PLATFORM_KEYS,
             direct_kv,
@@ -84,6 +86,7 @@
                 self.coordinator.watch_server.serve,
                 self.coordinator.limits.keeper.acquire,
                 self.coordinator.origins,
+                PLATFORM_KEYS.conceal,
             ).handle
         )
         self._ready_server = HttpServer(self._handle_readiness)
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -97,7 +97,7 @@
             self._directory.table,
             route,
             request.raw_headers,
-            self._directory.compute_configuration_age_s(trio.current_time()),
+            self._directory.compute_configuration_age(trio.current_time()),
             self._key_rules,
         )
 
--- a/packages/pistachiospar/src/pistachiospar/kv_access/calls.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/calls.py
@@ -1,7 +1,10 @@
 """Execution of key-value calls that arrive as messages."""
 
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
+import msgspec
 from result import Err
 from result import Ok
 from result import Result
@@ -71,17 +74,34 @@
 
 
 async def execute_for_peer(
-    kv: PollableKeyValue, call: messages.KvCall, is_store_lost: bool
+    kv: PollableKeyValue,
+    call: messages.KvCall,
+    is_store_lost: bool,
+    conceal: Callable[[str, bytes], bytes],
 ) -> messages.KvReply:
     """Execute a peer's call, unless this gateway lacks contact as well.
 
-    Otherwise each call in an outage would become several.
+    Otherwise each call in an outage would become several. `conceal` returns
+    a key's value without secrets, which peers don't get.
     """
     if is_store_lost:
         return messages.KvReply(
             fault=KvFault.NOT_SENT, detail="the peer has no contact either"
         )
-    return await execute_call(kv, call)
+    reply = await execute_call(kv, call)
+    return msgspec.structs.replace(
+        reply,
+        items=[
+            replace(item, value=conceal(item.key, item.value))
+            for item in reply.items
+        ],
+        events=[
+            replace(event, value=conceal(event.key, event.value))
+            if event.value is not None
+            else event
+            for event in reply.events
+        ],
+    )
 
 
 def _make_fault_reply(failed: Err[KvError]) -> messages.KvReply:
--- a/packages/pistachiospar/src/pistachiospar/organisations/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/organisations/decisions.py
@@ -10,6 +10,7 @@
 from ..submissions.models import Submission
 from .keys import compute_digest
 from .keys import read_key
+from .models import ConfigurationAge
 from .models import KeyFault
 from .models import KeyRefusal
 from .models import KeyRules
@@ -20,13 +21,13 @@
     table: RouteTable,
     route: Route | None,
     raw_headers: Headers,
-    age_s: float,
+    age: ConfigurationAge,
     rules: KeyRules,
 ) -> Organisation | None | KeyRefusal:
     """Return the organisation of a call's key, None where none is needed.
 
     `route` is None for calls on submissions, which always need a key.
-    `age_s` is how long ago the configuration was certainly up to date.
+    `age` is that of the configuration.
     """
     organisations = table.organisations
     if organisations is None or (route is not None and route.public):
@@ -34,15 +35,16 @@
     key = read_key(raw_headers)
     if isinstance(key, Err):
         return key.err_value
-    if rules.revoke_after_s is not None and age_s > rules.revoke_after_s:
-        detail = f"not confirmed for more than {rules.revoke_after_s:.1f} s"
+    limit_s = rules.revoke_after_s
+    if limit_s is not None and age.proven_s > limit_s:
+        detail = f"not confirmed for more than {limit_s:.1f} s"
         return KeyRefusal(KeyFault.UNCONFIRMED, detail)
     # The lookup compares digests, so its duration tells nothing of the key.
     organisation = organisations.by_digest.get(compute_digest(key.ok_value))
     if organisation is not None:
         return organisation
-    if age_s > rules.confirm_within_s:
-        detail = f"unknown key; not confirmed for {age_s:.1f} s"
+    if age.contact_s > rules.confirm_within_s:
+        detail = f"unknown key; not confirmed for {age.contact_s:.1f} s"
         return KeyRefusal(KeyFault.UNCONFIRMED, detail)
     version = f"configuration version {table.version}"
     return KeyRefusal(KeyFault.UNKNOWN, f"no organisation's in {version}")
--- a/packages/pistachiospar/src/pistachiospar/platform/directory.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/directory.py
@@ -6,6 +6,7 @@
 from ..directory.models import DirectoryKeys
 from .instances import encode_retired
 from .instances import read_instance
+from .manifest import conceal_secrets
 from .manifest import read_named_version
 from .manifest import read_table
 
@@ -19,5 +20,6 @@
     read_table=read_table,
     read_named_version=read_named_version,
     read_instance=read_instance,
+    conceal=conceal_secrets,
     encode_retired=encode_retired,
 )
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -5,12 +5,14 @@
 from result import Ok
 from result import Result
 
+from . import const
 from ..routing.models import CallerLimits
 from ..routing.models import CallKind
 from ..routing.models import Route
 from ..routing.models import RouteTable
 from ..routing.models import UpstreamConfig
 from ..routing.models import UpstreamShare
+from .organisations import conceal_keys
 from .organisations import read_organisations
 from .organisations import TenantMessage
 
@@ -111,6 +113,11 @@
     )
 
 
+def conceal_secrets(key: str, value: bytes) -> bytes:
+    """Return a key's value without the secrets that it may have."""
+    return conceal_keys(value) if key == const.KEY_CONFIG else value
+
+
 def read_named_version(value: bytes) -> Result[tuple[str, int], str]:
     """Decode a trainer's named version; return the model and the version."""
     try:
--- a/packages/pistachiospar/src/pistachiospar/platform/settings.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -39,6 +39,9 @@
     leaseMs: float = 3000
     statusS: float = 120
     requireFence: bool = True
+    configApplyMs: float = 3000
+    strictRevoke: bool = False
+    revokeMs: float = 5000
 
 
 class StoreMessage(msgspec.Struct):
@@ -69,6 +72,9 @@
     """Settings of a gateway; times are in seconds, sizes in bytes.
 
     `cpu_capacity` is the gateway's share of a core times the core's speed.
+    A configuration has to be in force after `config_apply_s`. Without contact
+    to the store, a removed key may be accepted for `revoke_s`, None for any
+    time.
     """
 
     name: str
@@ -86,6 +92,8 @@
     memory_mb: float
     max_descriptors: int
     is_first_start: bool = False
+    config_apply_s: float = 3.0
+    revoke_s: float | None = None
 
 
 def find_settings_file() -> str:
@@ -138,4 +146,6 @@
         message.limits.memoryMb,
         message.limits.maxFds,
         message.bootstrap,
+        bounds.configApplyMs / 1000,
+        bounds.revokeMs / 1000 if bounds.strictRevoke else None,
     )
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/coordinator.py
@@ -186,15 +186,18 @@
         if reply is None or took_s > limit_s:
             self._record_failure(source, "no reply")
             return False
-        self._apply_reply(reply)
+        self._apply_reply(reply, sent_at)
         if reply.contact_age_s >= const.MAX_CONTACT_AGE_S:
             self._record_failure(source, "no contact", reply.contact_age_s)
             return False
         self._sources.record_success(source)
         return True
 
-    def _apply_reply(self, reply: FollowReply) -> None:
-        """Apply changes, and what a source knows of the store's state."""
+    def _apply_reply(self, reply: FollowReply, sent_at: float) -> None:
+        """Apply changes, and what a source knows of the store's state.
+
+        The call was sent at `sent_at`, in seconds since boot.
+        """
         now = trio.current_time()
         is_recent = reply.contact_age_s < const.MAX_CONTACT_AGE_S
         if is_recent:
@@ -205,6 +208,9 @@
             page = reply.pages.get(mirror.prefix)
             if page is not None:
                 mirror.apply_page(page)
+                proven_age_s = reply.proven_ages_s.get(mirror.prefix)
+                if proven_age_s is not None:
+                    mirror.record_proof(sent_at - proven_age_s)
 
     def _record_failure(
         self, source: HolderRecord, reason: str, age_s: float | None = None
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/messages.py
@@ -16,12 +16,14 @@
     wait_s: float
 
 
-class FollowReply(msgspec.Struct, frozen=True):
+class FollowReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """Changes by prefix.
 
     `contact_age_s` is how long ago the source certainly had a response of
-    the store.
+    the store. `proven_ages_s` has how long ago all changes of a prefix were
+    certainly known, where the source keeps that.
     """
 
     pages: dict[str, HistoryPage]
     contact_age_s: float
+    proven_ages_s: dict[str, float] = {}
--- a/packages/pistachiospar/src/pistachiospar/watch_relay/server.py
+++ b/packages/pistachiospar/src/pistachiospar/watch_relay/server.py
@@ -132,7 +132,12 @@
                 last_at = mirror.last_success_at
                 since_s = float("inf") if last_at is None else now - last_at
                 age_s = max(age_s, since_s)
-        return FollowReply(pages, age_s)
+        proven_ages_s = {
+            mirror.prefix: mirror.compute_proven_age_s()
+            for mirror in self._mirrors
+            if mirror.read_boot_s is not None
+        }
+        return FollowReply(pages, age_s, proven_ages_s)
 
     def _notify_changed(self) -> None:
         """Wake the calls that wait for a change."""
