--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -45,6 +45,7 @@
       | an unreadable configuration                   |
       | keys whose name is escaped                    |
       | a name that no header can have                |
+      | a list of keys that is text                   |
       | a digest that is none                         |
       | the history of large configurations           |
       | settings with strict revocation               |
--- a/features/support/organisation_decisions.py
+++ b/features/support/organisation_decisions.py
@@ -274,6 +274,10 @@
         lambda: describe_invalid({"name": "a\r\nb"}),
         "$.tenants[0].name",
     ),
+    "a list of keys that is text": (
+        lambda: describe_invalid({"name": "a", "apiKeys": "key"}),
+        "$.tenants[].apiKeys",
+    ),
     "a digest that is none": (
         lambda: describe_invalid({"name": "a", "keyDigests": ["eA=="]}),
         "$.tenants[0].keyDigests",
--- a/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/coordinator.py
@@ -91,6 +91,7 @@
             self._keys.prefix_operator,
             self._apply_operator_event,
             self._rng,
+            conceal=self._keys.conceal,
         )
         await mirror.run()
 
--- a/packages/pistachiospar/src/pistachiospar/organisations/const.py
+++ b/packages/pistachiospar/src/pistachiospar/organisations/const.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 MAX_KEY_CHARACTERS: Final = 512
-DIGEST_BYTES: Final = 32
+DIGEST_CHARACTERS: Final = 44
 SCHEME: Final = "bearer"
 # Time between the check of a key and the call at the sampler, and the drift
 # of the clocks of store and gateway.
--- a/packages/pistachiospar/src/pistachiospar/organisations/keys.py
+++ b/packages/pistachiospar/src/pistachiospar/organisations/keys.py
@@ -1,5 +1,6 @@
 """Keys that callers send, and their digests."""
 
+from binascii import b2a_base64
 from hashlib import sha256
 
 from result import Err
@@ -12,9 +13,9 @@
 from .models import KeyRefusal
 
 
-def compute_digest(key: bytes) -> bytes:
-    """Return the digest that stands for a key everywhere."""
-    return sha256(key).digest()
+def compute_digest(key: bytes) -> str:
+    """Return the digest, in base64, that stands for a key everywhere."""
+    return b2a_base64(sha256(key).digest(), newline=False).decode()
 
 
 def read_key(raw_headers: Headers) -> Result[bytes, KeyRefusal]:
--- a/packages/pistachiospar/src/pistachiospar/organisations/models.py
+++ b/packages/pistachiospar/src/pistachiospar/organisations/models.py
@@ -24,7 +24,7 @@
     """
 
     by_name: dict[str, Organisation]
-    by_digest: dict[bytes, Organisation] = field(repr=False)
+    by_digest: dict[str, Organisation] = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -13,8 +13,8 @@
 from ..routing.models import UpstreamConfig
 from ..routing.models import UpstreamShare
 from .organisations import conceal_keys
+from .organisations import find_concealed_error
 from .organisations import read_organisations
-from .organisations import TenantMessage
 
 _KINDS_BY_NAME = {kind.value: kind for kind in CallKind}
 
@@ -83,7 +83,7 @@
     routes: list[RouteMessage]
     services: list[ServiceMessage]
     limits: LimitsMessage
-    tenants: list[TenantMessage] | None = None
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class NamedVersionMessage(msgspec.Struct):
@@ -95,11 +95,15 @@
 
 def read_table(value: bytes) -> Result[RouteTable, str]:
     """Decode the configuration; the Err says what is invalid."""
+    value = conceal_keys(value)
+    error = find_concealed_error(value)
+    if error is not None:
+        return Err(error)
     try:
         message = msgspec.json.decode(value, type=ConfigMessage)
-        organisations = read_organisations(message.tenants or [])
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(str(error))
+        organisations = read_organisations(bytes(message.tenants))
+    except (msgspec.MsgspecError, ValueError) as invalid:
+        return Err(str(invalid))
     routes = tuple(_read_route(route) for route in message.routes)
     upstreams = {s.name: _read_upstream(s) for s in message.services}
     limits = CallerLimits(
--- a/packages/pistachiospar/src/pistachiospar/platform/organisations.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/organisations.py
@@ -1,14 +1,18 @@
-"""Organisations in the operator's configuration, which it calls tenants."""
+"""Organisations in the operator's configuration, which it calls tenants.
 
-from base64 import b64decode
-from base64 import b64encode
-import binascii
-import re
+Pattern: a configuration may have 20,000 keys, and most of its changes don't
+concern them. What was computed for the last list is used again for an equal
+one.
+"""
+
+from functools import lru_cache
+from hashlib import sha256
+from typing import Any
 from typing import Final
 
 import msgspec
 
-from ..organisations.const import DIGEST_BYTES
+from ..organisations.const import DIGEST_CHARACTERS
 from ..organisations.keys import compute_digest
 from ..organisations.models import Organisation
 from ..organisations.models import OrganisationTable
@@ -16,105 +20,138 @@
 _KEYS: Final = "apiKeys"
 _DIGESTS: Final = "keyDigests"
 _TENANTS: Final = "tenants"
-# A name is sent in a header.
-_NAME_PATTERN: Final = re.compile(r"[!-~]([ -~]{0,254}[!-~])?")
+_ERROR_PREFIX: Final = b'{"unreadable":'
+MAX_NAME_CHARACTERS: Final = 256
 
 
 class TenantMessage(msgspec.Struct):
     """An organisation; priority 0 is the most urgent.
 
-    The operator writes `apiKeys`; gateways pass `keyDigests` on instead,
-    which are base64.
+    The operator writes `apiKeys`; `keyDigests` replace them where the
+    configuration is received.
     """
 
     name: str
-    apiKeys: list[str] = []
     keyDigests: list[str] = []
     priority: int | None = None
 
 
-def read_organisations(
-    tenants: list[TenantMessage],
-) -> OrganisationTable | None:
-    """Convert the organisations; raises ValueError for an invalid one.
+class ErrorMessage(msgspec.Struct):
+    """What replaces an unreadable configuration."""
+
+    unreadable: str
+
+
+class KeyConcealer:
+    """Replaces keys by digests; remembers the last list, but not its keys."""
+
+    def __init__(self) -> None:
+        """Start without a last list."""
+        self._last_digest = b""
+        self._last_concealed = b""
+
+    def conceal(self, value: bytes) -> bytes:
+        """Return a configuration with digests in place of its keys.
+
+        Nothing else changes, also what this version doesn't know. An
+        unreadable configuration is replaced by the error, since it may hold
+        keys anywhere.
+        """
+        if _KEYS.encode() not in value and b"\\u" not in value:
+            return value
+        try:
+            fields = msgspec.json.decode(value, type=dict[str, msgspec.Raw])
+            if _TENANTS not in fields:
+                return value
+            concealed = self._conceal_list(bytes(fields[_TENANTS]))
+        except msgspec.MsgspecError as error:
+            return msgspec.json.encode(ErrorMessage(str(error)))
+        fields[_TENANTS] = msgspec.Raw(concealed)
+        return msgspec.json.encode(fields)
+
+    def _conceal_list(self, encoded: bytes) -> bytes:
+        """Replace the keys of all organisations; raises MsgspecError."""
+        digest = sha256(encoded).digest()
+        if digest != self._last_digest:
+            tenants = msgspec.json.decode(
+                encoded, type=list[dict[str, Any]] | None
+            )
+            for tenant in tenants or []:
+                _conceal_tenant(tenant)
+            self._last_concealed = msgspec.json.encode(tenants)
+            self._last_digest = digest
+        return self._last_concealed
+
+
+conceal_keys = KeyConcealer().conceal
 
-    None without any. Entries of the same name are one organisation.
+
+def find_concealed_error(value: bytes) -> str | None:
+    """Return why a configuration could not be read when it was concealed."""
+    if not value.startswith(_ERROR_PREFIX):
+        return None
+    return msgspec.json.decode(value, type=ErrorMessage).unreadable
+
+
+@lru_cache(maxsize=1)
+def read_organisations(encoded: bytes) -> OrganisationTable | None:
+    """Read a concealed list of organisations; None without any.
+
+    Raises MsgspecError, and ValueError for an invalid name or digest.
+    Entries of the same name are one organisation.
     """
+    tenants = msgspec.json.decode(encoded, type=list[TenantMessage] | None)
     by_name: dict[str, Organisation] = {}
-    owners: dict[bytes, str] = {}
-    ambiguous: set[bytes] = set()
-    for number, tenant in enumerate(tenants):
-        if not _NAME_PATTERN.fullmatch(tenant.name):
+    by_digest: dict[str, Organisation] = {}
+    ambiguous: set[str] = set()
+    for number, tenant in enumerate(tenants or []):
+        name = tenant.name
+        if not _is_header_text(name):
             raise ValueError(
-                f"$.tenants[{number}].name: not 1 to 256 printable ASCII "
-                "characters without spaces at the ends"
+                f"$.tenants[{number}].name: not 1 to {MAX_NAME_CHARACTERS} "
+                "printable ASCII characters without spaces at the ends"
             )
-        known = by_name.get(tenant.name)
-        if known is None or known.priority is None:
-            by_name[tenant.name] = Organisation(tenant.name, tenant.priority)
-        for digest in _list_digests(tenant, number):
-            if owners.setdefault(digest, tenant.name) != tenant.name:
+        organisation = by_name.get(name)
+        if organisation is None:
+            organisation = Organisation(name, tenant.priority)
+            by_name[name] = organisation
+        for digest in tenant.keyDigests:
+            if len(digest) != DIGEST_CHARACTERS:
+                raise ValueError(
+                    f"$.tenants[{number}].keyDigests: not SHA-256 in base64"
+                )
+            if by_digest.setdefault(digest, organisation) != organisation:
                 ambiguous.add(digest)
-    by_digest = {
-        digest: by_name[name]
-        for digest, name in owners.items()
-        if digest not in ambiguous
-    }
+    for digest in ambiguous:
+        del by_digest[digest]
     return OrganisationTable(by_name, by_digest) if by_name else None
 
 
-def conceal_keys(value: bytes) -> bytes:
-    """Return a configuration with digests in place of its keys.
+def _conceal_tenant(tenant: dict[str, Any]) -> None:
+    """Replace the keys of one organisation; raises ValidationError.
 
-    Nothing else changes, also what this version doesn't know. An unreadable
-    configuration is replaced by the error, since it may hold keys anywhere.
+    No call has an empty key.
     """
-    if _KEYS.encode() not in value and b"\\u" not in value:
-        return value
-    try:
-        fields = msgspec.json.decode(value, type=dict[str, msgspec.Raw])
-        if _TENANTS not in fields:
-            return value
-        tenants = msgspec.json.decode(
-            fields[_TENANTS], type=list[dict[str, msgspec.Raw]]
-        )
-        for tenant in tenants:
-            _conceal_tenant(tenant)
-    except msgspec.MsgspecError as error:
-        return msgspec.json.encode({"unreadable": str(error)})
-    fields[_TENANTS] = msgspec.Raw(msgspec.json.encode(tenants))
-    return msgspec.json.encode(fields)
-
-
-def _conceal_tenant(tenant: dict[str, msgspec.Raw]) -> None:
-    """Replace the keys of one organisation; raises MsgspecError."""
-    raw_keys = tenant.pop(_KEYS, None)
-    if raw_keys is None:
+    keys = tenant.pop(_KEYS, None)
+    if keys is None:
         return
-    keys = msgspec.json.decode(raw_keys, type=list[str])
-    digests = [
-        b64encode(compute_digest(key.encode())).decode() for key in keys if key
+    known = tenant.get(_DIGESTS, [])
+    if not isinstance(keys, list) or not isinstance(known, list):
+        raise msgspec.ValidationError(f"$.tenants[].{_KEYS}: not a list")
+    if not all(isinstance(key, str) for key in keys):
+        raise msgspec.ValidationError(f"$.tenants[].{_KEYS}: not all text")
+    tenant[_DIGESTS] = [
+        *known,
+        *[compute_digest(key.encode()) for key in keys if key],
     ]
-    if _DIGESTS in tenant:
-        known = msgspec.json.decode(tenant[_DIGESTS], type=list[str])
-        digests = [*known, *digests]
-    tenant[_DIGESTS] = msgspec.Raw(msgspec.json.encode(digests))
 
 
-def _list_digests(tenant: TenantMessage, number: int) -> list[bytes]:
-    """Return the digests of an organisation's keys; raises ValueError.
-
-    No call has an empty key.
-    """
-    digests = [compute_digest(key.encode()) for key in tenant.apiKeys if key]
-    for encoded in tenant.keyDigests:
-        try:
-            digest = b64decode(encoded, validate=True)
-        except binascii.Error:
-            digest = b""
-        if len(digest) != DIGEST_BYTES:
-            raise ValueError(
-                f"$.tenants[{number}].keyDigests: not SHA-256 in base64"
-            )
-        digests.append(digest)
-    return digests
+def _is_header_text(name: str) -> bool:
+    """Return whether a name can be sent as a header's value."""
+    return (
+        0 < len(name) <= MAX_NAME_CHARACTERS
+        and name.isascii()
+        and name.isprintable()
+        and name[0] != " "
+        and name[-1] != " "
+    )
