--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -5,14 +5,16 @@
 from result import Ok
 from result import Result
 
+from . import const
 from ..routing.models import CallerLimits
 from ..routing.models import CallKind
 from ..routing.models import Route
 from ..routing.models import RouteTable
 from ..routing.models import UpstreamConfig
 from ..routing.models import UpstreamShare
+from .organisations import conceal_keys
+from .organisations import find_concealed_error
 from .organisations import read_organisations
-from .organisations import TenantMessage
 
 _KINDS_BY_NAME = {kind.value: kind for kind in CallKind}
 
@@ -81,7 +83,7 @@
     routes: list[RouteMessage]
     services: list[ServiceMessage]
     limits: LimitsMessage
-    tenants: list[TenantMessage] | None = None
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class NamedVersionMessage(msgspec.Struct):
@@ -93,11 +95,15 @@
 
 def read_table(value: bytes) -> Result[RouteTable, str]:
     """Decode the configuration; the Err says what is invalid."""
+    value = conceal_keys(value)
+    error = find_concealed_error(value)
+    if error is not None:
+        return Err(error)
     try:
         message = msgspec.json.decode(value, type=ConfigMessage)
-        organisations = read_organisations(message.tenants or [])
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(str(error))
+        organisations = read_organisations(bytes(message.tenants))
+    except (msgspec.MsgspecError, ValueError) as invalid:
+        return Err(str(invalid))
     routes = tuple(_read_route(route) for route in message.routes)
     upstreams = {s.name: _read_upstream(s) for s in message.services}
     limits = CallerLimits(
@@ -111,6 +117,11 @@
     )
 
 
+def conceal_secrets(key: str, value: bytes) -> bytes:
+    """Return a key's value without the secrets that it may have."""
+    return conceal_keys(value) if key == const.KEY_CONFIG else value
+
+
 def read_named_version(value: bytes) -> Result[tuple[str, int], str]:
     """Decode a trainer's named version; return the model and the version."""
     try:
