Report the calls of organisations by window of time

The platform wants one report a window, made by one gateway at a time. Adds the duty's holder and guard, counts at each gateway, their merge and durable record at the holder, and the calls with retries.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from pistachiospar.adapters.http.models import HttpRequest
+from pistachiospar.duties.models import DutySettings
 from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.gateway.models import GatewayIdentity
 from pistachiospar.kv_access.calls import execute_for_peer
@@ -22,12 +23,16 @@
 from pistachiospar.stream_origins.messages import FindOriginReply
 from pistachiospar.stream_origins.messages import StreamOrigin
 from pistachiospar.submissions.models import ResultPage
+from pistachiospar.usage.messages import CountsMessage
+from pistachiospar.usage.messages import CountsReceipt
 from pistachiospar.watch_relay.const import REPLY_MARGIN_S
 from pistachiospar.watch_relay.messages import FollowCall
 from pistachiospar.watch_relay.messages import FollowReply
 import trio
 
 from ..kv.store import Store
+from .cloud import FakeCloud
+from .cloud import FakeCloudClient
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
@@ -68,7 +73,8 @@
     """The size and settings of a small fleet of gateways.
 
     `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream.
+    plain upstream. `lost_count_share` is the share of the lost replies to
+    counts for the usage report.
     """
 
     gateways: int = 3
@@ -83,6 +89,9 @@
     result_retention_s: float = 120.0
     resumable: bool = True
     is_first_start: bool = False
+    duties: DutySettings | None = None
+    require_fence: bool = True
+    lost_count_share: float = 0.0
     faults: KvFaultSet = field(default_factory=KvFaultSet)
 
 
@@ -131,6 +140,20 @@
             return PeerFailure.GONE
         return running.coordinator.limits.keeper.acquire(call)
 
+    async def send_counts(
+        self, address: str, message: CountsMessage
+    ) -> CountsReceipt | None:
+        """Send counts to a peer; None when it can't be reached."""
+        await trio.sleep(0.001)
+        running = self._fleet.running.get(address)
+        if running is None or not self._fleet.can_connect(self._name, address):
+            return None
+        receipt = running.coordinator.receive_counts(message)
+        lost_share = self._fleet.plan.lost_count_share
+        if lost_share and self._fleet.rng.random() < lost_share:
+            return None
+        return receipt
+
     async def copy_origins(
         self, address: str, origins: list[StreamOrigin]
     ) -> bool:
@@ -177,6 +200,7 @@
         self.rng = Random(plan.seed)
         self.store = Store()
         self.cluster = SamplerCluster(self.rng)
+        self.cloud = FakeCloud(Random(plan.seed), plan.require_fence)
         self.running: dict[str, RunningGateway] = {}
         self.isolated: set[str] = set()
         self.suspended: set[str] = set()
@@ -190,6 +214,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Write the configuration; start all instances and gateways."""
         self._nursery = nursery
+        self.cloud.nursery = nursery
         self.write_configuration()
         for number in range(self.plan.samplers):
             self.add_sampler(f"s{number}", POOL)
@@ -222,6 +247,7 @@
                 MAX_VALUE_BYTES,
                 self.plan.result_retention_s,
                 is_first_start=self._is_first_start,
+                duties=self.plan.duties,
             ),
             PLATFORM_KEYS,
             kv,
@@ -229,6 +255,7 @@
             MemoryGatewayPeer(self, name),
             Clocks(trio.current_time, read_boot_s),
             rng,
+            FakeCloudClient(self.cloud, name, self.isolated),
         )
         running = RunningGateway(coordinator, kv, scope)
         self.running[name] = running
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -17,6 +17,9 @@
 from ...stream_origins.messages import FindOriginReply
 from ...stream_origins.messages import StreamOrigin
 from ...submissions.models import ResultPage
+from ...usage.const import SEND_TIMEOUT_S
+from ...usage.messages import CountsMessage
+from ...usage.messages import CountsReceipt
 from ...watch_relay.const import REPLY_MARGIN_S
 from ...watch_relay.messages import FollowCall
 from ...watch_relay.messages import FollowReply
@@ -118,6 +121,22 @@
         except (HttpError, trio.TooSlowError, msgspec.MsgspecError):
             return None
 
+    async def send_counts(
+        self, address: str, message: CountsMessage
+    ) -> CountsReceipt | None:
+        """Send counts; None when the gateway fails to reply."""
+        body = msgspec.msgpack.encode(message)
+        try:
+            with trio.fail_after(SEND_TIMEOUT_S):
+                response = await self._get_pool(address).fetch(
+                    "POST", const.PATH_USAGE_COUNTS, body=body
+                )
+            if response.status != 200:
+                return None
+            return msgspec.msgpack.decode(response.body, type=CountsReceipt)
+        except (HttpError, trio.TooSlowError, msgspec.MsgspecError):
+            return None
+
     async def fetch_results(
         self, address: str, submission: str, after: int, wait_s: float
     ) -> ResultPage | None:
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/const.py
@@ -11,6 +11,7 @@
 PATH_FOLLOW: Final = "/follow"
 PATH_PERMIT: Final = "/permit"
 PATH_COPY_ORIGINS: Final = "/stream-origins"
+PATH_USAGE_COUNTS: Final = "/usage-counts"
 PATH_FIND_ORIGIN: Final = "/stream-origin"
 # The peer's own call may take 1.8 s, not counting the wait of a poll.
 KV_CALL_TIMEOUT_S: Final = 2.2
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -15,6 +15,8 @@
 from ...stream_origins.messages import FindOriginCall
 from ...stream_origins.messages import StreamOrigin
 from ...submissions.models import ResultPage
+from ...usage.messages import CountsMessage
+from ...usage.messages import CountsReceipt
 from ...watch_relay.messages import FollowCall
 from ...watch_relay.messages import FollowReply
 from . import const
@@ -41,10 +43,12 @@
         follow: FollowServer,
         acquire_permit: Callable[[PermitCall], PermitReply],
         origins: StreamOrigins,
+        receive_counts: Callable[[CountsMessage], CountsReceipt | None],
     ) -> None:
         """Serve results of `read_local`, calls to `kv`, followers, permits.
 
-        Also copies of `origins` and questions about them. Calls to `kv` are
+        Also copies of `origins` and questions about them, and the counts of
+        callers' calls while this gateway reports them. Calls to `kv` are
         refused while `is_store_lost` returns True.
         """
         self._is_store_lost = is_store_lost
@@ -53,6 +57,7 @@
         self._follow = follow
         self._acquire_permit = acquire_permit
         self._origins = origins
+        self._receive_counts = receive_counts
 
     async def handle(self, request: HttpRequest, exchange: Exchange) -> None:
         """Serve one call of another gateway."""
@@ -94,6 +99,14 @@
                 200, [], msgspec.msgpack.encode(found_origin)
             )
             return
+        if request.path == const.PATH_USAGE_COUNTS:
+            counts = msgspec.msgpack.decode(request.body, type=CountsMessage)
+            receipt = self._receive_counts(counts)
+            status = 200 if receipt is not None else 404
+            await exchange.send_response(
+                status, [], msgspec.msgpack.encode(receipt)
+            )
+            return
         if not request.path.startswith(const.PATH_RESULTS):
             await exchange.send_response(404, [], b"")
             return
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -284,10 +284,13 @@
         )
         state.in_flight += 1
         sent = True
+        metered_at_s = call.meter.record_sent() if call.meter else 0.0
         try:
             async with self._samplers.call(instance, sampler_call) as response:
                 outcome = await self._read_response(response, instance.name)
         except UpstreamLimitError as error:
+            if call.meter:
+                call.meter.record_refused(metered_at_s)
             return CallFailure(FailureKind.NOT_RUN, str(error))
         except UpstreamNotSentError as error:
             sent = False
@@ -300,6 +303,9 @@
                 )
         finally:
             state.in_flight -= 1
+        match outcome:
+            case CallFailure(FailureKind.NOT_RUN) if call.meter:
+                call.meter.record_refused(metered_at_s)
         if call.fingerprint and isinstance(outcome, CallResponse):
             self._crashes.record_response(call.fingerprint)
         now = trio.current_time()
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -5,6 +5,7 @@
 
 from ..adapters.http.models import Headers
 from ..routing.models import Route
+from ..usage.recorder import CallMeter
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,6 +16,9 @@
     `fingerprint` recognises the request when it comes again; empty for calls
     that are owed whatever instances they crash. A caller resumes the stream
     that began with the request `stream` after the event `after_event`.
+    `organisation` is None when no organisations are configured, and empty on
+    a public route. `meter` counts the call for the usage report, if it is to
+    be counted.
     """
 
     request_id: str
@@ -29,6 +33,8 @@
     fingerprint: str = ""
     stream: str = ""
     after_event: int = 0
+    organisation: str | None = None
+    meter: CallMeter | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -295,6 +295,8 @@
                 if event.number != state.last_event + 1:
                     raise UpstreamError("stream events are out of order")
                 state.resume_until = float("inf")
+                if call.meter:
+                    call.meter.record_first_event()
                 if not state.is_recorded:
                     await self._record_origin(call, instance, state)
                 await sink.write(event.raw)
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -14,6 +14,8 @@
 from ..crashes.coordinator import CrashWatch
 from ..directory.coordinator import Directory
 from ..directory.models import DirectoryKeys
+from ..duties.const import DUTY_USAGE
+from ..duties.models import is_duty
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
 from ..forwarding.selection import InstanceSelector
@@ -27,10 +29,12 @@
 from ..pool_holders.models import HolderRecord
 from ..pool_holders.models import Role
 from ..pool_holders.role_lease import RoleLeaseManager
+from ..ports.duties import DutyClient
 from ..ports.kv import KeyValue
 from ..ports.peer_kv import PeerKeyValue
 from ..ports.peer_origins import PeerOrigins
 from ..ports.peer_permits import PeerPermits
+from ..ports.peer_usage import PeerUsage
 from ..ports.peer_watch import PeerWatch
 from ..ports.sampler import SamplerClient
 from ..ports.submissions import SubmissionPeer
@@ -44,6 +48,10 @@
 from ..submissions.runner import ItemRunner
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from ..usage.coordinator import POOL as USAGE_POOL
+from ..usage.coordinator import UsageCoordinator
+from ..usage.messages import CountsMessage
+from ..usage.messages import CountsReceipt
 from ..watch_relay.contact import StoreContact
 from ..watch_relay.coordinator import WatchRelay
 from ..watch_relay.server import WatchServer
@@ -56,6 +64,7 @@
     PeerKeyValue,
     PeerOrigins,
     PeerPermits,
+    PeerUsage,
     PeerWatch,
     SubmissionPeer,
     Protocol,
@@ -75,8 +84,12 @@
         peer: GatewayPeers,
         clocks: Clocks,
         rng: Random,
+        duty_client: DutyClient | None = None,
     ) -> None:
-        """Connect the parts; `direct_kv` is the key-value service itself."""
+        """Connect the parts; `direct_kv` is the key-value service itself.
+
+        `duty_client` is needed only with duties.
+        """
         self.identity = identity
         self.metrics = Metrics()
         self._keys = keys
@@ -185,6 +198,21 @@
             self.crashes,
             self.metrics,
         )
+        self.usage: UsageCoordinator | None = None
+        duties = identity.duties
+        if duties and duty_client and DUTY_USAGE in duties.names:
+            self.usage = UsageCoordinator(
+                record,
+                duties,
+                identity.lease_s,
+                self.kv,
+                self.holders,
+                peer,
+                duty_client,
+                clocks,
+                self.metrics,
+                rng,
+            )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
         self.reader = SubmissionReader(
@@ -205,6 +233,7 @@
             clocks.read_wall_s,
             self.metrics,
             rng,
+            self.usage.recorder if self.usage else None,
         )
         self._confirmed_retirements: dict[str, int] = {}
         self._table_changed = trio.Event()
@@ -229,6 +258,8 @@
             nursery.start_soon(self.origins.run)
             nursery.start_soon(self.holders.publish_address)
             nursery.start_soon(self._compete_for_pools)
+            if self.usage is not None:
+                nursery.start_soon(self.usage.run)
             task_status.started()
 
     async def hand_over(self) -> None:
@@ -238,8 +269,21 @@
         """
         async with trio.open_nursery() as nursery:
             for name, role in self.holders.roles.items():
-                nursery.start_soon(self._flush_pool, name, role)
-        await self.holders.stop()
+                if not is_duty(name):
+                    nursery.start_soon(self._flush_pool, name, role)
+        unsettled = set()
+        if self.usage is not None and not self.usage.guard.is_quiet():
+            unsettled.add(USAGE_POOL)
+        await self.holders.stop(unsettled)
+
+    async def finish(self) -> None:
+        """Pass on the last counts, once all requests have ended."""
+        if self.usage is not None:
+            await self.usage.finish()
+
+    def receive_counts(self, message: CountsMessage) -> CountsReceipt | None:
+        """Take another gateway's counts; None unless they are wanted here."""
+        return self.usage.receive(message) if self.usage else None
 
     async def _flush_pool(self, name: str, role: Role) -> None:
         """Store the state of a pool, unless another gateway takes it."""
@@ -267,6 +311,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for upstream in self.directory.table.list_pools():
+                    if is_duty(upstream.name):
+                        continue
                     if upstream.name not in self.pools:
                         pool = self._create_pool(upstream.name)
                         self.pools[upstream.name] = pool
@@ -282,7 +328,7 @@
 
     async def _confirm_retirements(self) -> None:
         """Confirm requests to retire instances, which hold no state."""
-        if not self.holders.roles:
+        if all(is_duty(name) for name in self.holders.roles):
             return
         for name, revision in list(self.directory.retiring.items()):
             if self._confirmed_retirements.get(name) == revision:
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from ..duties.models import is_duty
+from ..usage.coordinator import UsageCoordinator
 from .coordinator import GatewayCoordinator
 
 
@@ -31,6 +33,34 @@
     open_submissions: int
 
 
+class WindowDump(msgspec.Struct):
+    """A window of the usage report that this gateway fixed.
+
+    `reported` is whether the report was acknowledged.
+    """
+
+    window: int
+    calls: int
+    organisations: int
+    reported: bool
+
+
+class UsageDump(msgspec.Struct):
+    """The duty of usage reports.
+
+    `reason` is why this gateway may make no call now, empty when it may.
+    `unconfirmed` is the number of its own counts that may not be durable.
+    """
+
+    holder: str
+    fence: int
+    reason: str
+    unconfirmed: int
+    next_window: int | None
+    pending: list[int]
+    windows: list[WindowDump]
+
+
 class GatewayDump(msgspec.Struct):
     """State of a gateway.
 
@@ -50,10 +80,35 @@
     named_versions: dict[str, int]
     holders: dict[str, str]
     roles: list[RoleDump]
+    usage: UsageDump | None
     instances: list[InstanceDump]
     counts: dict[str, int]
 
 
+def dump_usage(usage: UsageCoordinator) -> UsageDump:
+    """Return the state of the usage reports."""
+    term = usage.term
+    return UsageDump(
+        usage.find_holder(),
+        usage.guard.fence,
+        usage.guard.explain_refusal(),
+        usage.recorder.count_unconfirmed(),
+        term.ledger.next_window if term else None,
+        sorted(term.pending) if term else [],
+        [
+            WindowDump(
+                fixed.window,
+                fixed.calls,
+                fixed.organisations,
+                fixed.window not in term.pending,
+            )
+            for fixed in term.fixed
+        ]
+        if term
+        else [],
+    )
+
+
 def dump_gateway(
     gateway: GatewayCoordinator, now: float, boot_now: float
 ) -> GatewayDump:
@@ -81,7 +136,9 @@
                 len(gateway.pools[pool].registry.list_open()),
             )
             for pool, role in gateway.holders.roles.items()
+            if not is_duty(pool)
         ],
+        dump_usage(gateway.usage) if gateway.usage else None,
         [
             InstanceDump(
                 name,
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..duties.models import DutySettings
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayIdentity:
@@ -11,7 +13,8 @@
     outlives its holder, `value_bytes` the largest value that the key-value
     service stores, `result_retention_s` how long an ended submission can
     still be read, `cpu_capacity` how much of a core it has. `is_first_start`
-    is set when all gateways start together for the first time.
+    is set when all gateways start together for the first time. `duties` is
+    None when there are none.
     """
 
     name: str
@@ -22,3 +25,4 @@
     result_retention_s: float
     cpu_capacity: float = 1.0
     is_first_start: bool = False
+    duties: DutySettings | None = None
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -14,6 +14,7 @@
 from ..adapters.http.server import HttpServer
 from . import const
 from ..const import MEBIBYTE
+from ..platform.cloud import CloudClient
 from ..platform.directory import PLATFORM_KEYS
 from ..platform.samplers import PlatformSamplerClient
 from ..platform.settings import GatewaySettings
@@ -60,6 +61,7 @@
                 settings.result_retention_s,
                 settings.cpu_capacity,
                 settings.is_first_start,
+                settings.duties,
             ),
             PLATFORM_KEYS,
             direct_kv,
@@ -67,6 +69,9 @@
             HttpGatewayPeer(),
             Clocks(),
             Random(),
+            CloudClient(settings.duties.address, settings.name)
+            if settings.duties
+            else None,
         )
         self._server = HttpServer(self.coordinator.handler.handle)
         limits = self._server.limits
@@ -84,6 +89,7 @@
                 self.coordinator.watch_server.serve,
                 self.coordinator.limits.keeper.acquire,
                 self.coordinator.origins,
+                self.coordinator.receive_counts,
             ).handle
         )
         self._ready_server = HttpServer(self._handle_readiness)
@@ -183,6 +189,7 @@
         end_at = started_at + self._settings.grace_s - const.DRAIN_MARGIN_S
         while self._server.active_requests and trio.current_time() < end_at:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self.coordinator.finish()
         log_event("stopped", cut=self._server.active_requests)
 
 
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -49,6 +49,7 @@
 from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from ..usage.recorder import UsageRecorder
 from .retry_after import choose_retry_after_s
 
 _JSON_HEADERS: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
@@ -67,8 +68,13 @@
         read_wall_s: Callable[[], float],
         metrics: Metrics,
         rng: Random,
+        usage: UsageRecorder | None,
     ) -> None:
-        """Initialize; `read_wall_s` returns Unix time."""
+        """Initialize; `read_wall_s` returns Unix time.
+
+        `usage` counts calls, None when they aren't reported.
+        """
+        self._usage = usage
         self._rng = rng
         self._directory = directory
         self._forwarder = forwarder
@@ -160,12 +166,7 @@
             stream=resumed.stream if resumed else "",
             after_event=resumed.after_event if resumed else 0,
         )
-        if route.stream:
-            outcome: CallOutcome | None = await self._streams.forward(
-                call, exchange
-            )
-        else:
-            outcome = await self._forwarder.forward(call)
+        outcome = await self._forward_metered(call, exchange)
         took_s = trio.current_time() - arrived_at
         self._metrics.observe("call", took_s)
         log_event(
@@ -207,6 +208,31 @@
                     problem = replace(problem, status=504)
                 await self._refuse(exchange, caller, problem)
 
+    async def _forward_metered(
+        self, call: ForwardCall, exchange: CallerSink
+    ) -> CallOutcome | None:
+        """Forward a call and count it, if it is one of an organisation.
+
+        Return None for a stream that was sent.
+        """
+        if self._usage is None or not call.organisation or call.after_event:
+            # A stream that is resumed was counted where it began.
+            return await self._forward_call(call, exchange)
+        meter = self._usage.open_call(call.organisation)
+        try:
+            call = replace(call, meter=meter)
+            return await self._forward_call(call, exchange)
+        finally:
+            self._usage.close_call(meter)
+
+    async def _forward_call(
+        self, call: ForwardCall, exchange: CallerSink
+    ) -> CallOutcome | None:
+        """Forward a call; return None for a stream that was sent."""
+        if call.route.stream:
+            return await self._streams.forward(call, exchange)
+        return await self._forwarder.forward(call)
+
     async def _accept_submission(
         self,
         request: HttpRequest,
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -51,3 +51,9 @@
 MAX_EVENT_NUMBER_DIGITS: Final = 18
 MAX_REQUEST_ID_CHARACTERS: Final = 128
 HEADER_REQUEST_PRIORITY: Final = "Request-Priority"
+
+# Duties
+PATH_USAGE: Final = "/usage"
+PATH_SCALE: Final = "/scale"
+HEADER_DUTY_HOLDER: Final = "Duty-Holder"
+HEADER_FENCE_TOKEN: Final = "Fence-Token"
--- a/packages/pistachiospar/src/pistachiospar/platform/settings.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -11,6 +11,8 @@
 from ..adapters.http.client import Address
 from ..adapters.http.client import parse_address
 from . import const
+from ..duties.const import DEFAULT_CALLS_PER_S
+from ..duties.models import DutySettings
 
 
 class ListenMessage(msgspec.Struct):
@@ -39,6 +41,8 @@
     leaseMs: float = 3000
     statusS: float = 120
     requireFence: bool = True
+    reportWindowS: float = 5
+    usageLateS: float = 10
 
 
 class StoreMessage(msgspec.Struct):
@@ -49,6 +53,14 @@
     ttlMinMs: float = 1000
 
 
+class CloudMessage(msgspec.Struct):
+    """Address of the duties' interface, duties and limit of calls."""
+
+    address: str = ""
+    duties: list[str] = []
+    dutyPerS: float = DEFAULT_CALLS_PER_S
+
+
 class SettingsMessage(msgspec.Struct):
     """Settings of one process; unknown fields are ignored."""
 
@@ -62,6 +74,7 @@
     bootstrap: bool = False
     limits: LimitsMessage = msgspec.field(default_factory=LimitsMessage)
     bounds: BoundsMessage = msgspec.field(default_factory=BoundsMessage)
+    cloud: CloudMessage | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +99,7 @@
     memory_mb: float
     max_descriptors: int
     is_first_start: bool = False
+    duties: DutySettings | None = None
 
 
 def find_settings_file() -> str:
@@ -138,4 +152,30 @@
         message.limits.memoryMb,
         message.limits.maxFds,
         message.bootstrap,
+        _make_duties(message.cloud, bounds),
+    )
+
+
+def _make_duties(
+    cloud: CloudMessage | None, bounds: BoundsMessage
+) -> DutySettings | None:
+    """Convert the settings of duties; None when there are none.
+
+    Raises ValueError for a bad address or a bound that isn't positive.
+    """
+    if cloud is None or not cloud.address or not cloud.duties:
+        return None
+    for name, value in (
+        ("dutyPerS", cloud.dutyPerS),
+        ("reportWindowS", bounds.reportWindowS),
+        ("usageLateS", bounds.usageLateS),
+    ):
+        if not value > 0:
+            raise ValueError(f"{name} must be positive, not {value}")
+    return DutySettings(
+        parse_address(cloud.address),
+        tuple(cloud.duties),
+        cloud.dutyPerS,
+        bounds.reportWindowS,
+        bounds.usageLateS,
     )
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from random import Random
 
@@ -133,12 +134,24 @@
                 continue
             await self._run_role(role, task)
 
-    async def stop(self) -> None:
-        """Release all roles and acquire none again."""
+    async def release(self, role: Role) -> None:
+        """Release a role; this gateway may acquire it again."""
+        await self._role_leases.release_role(role)
+        self._notify_changed()
+
+    async def stop(self, unsettled: Collection[str] = ()) -> None:
+        """Release all roles and acquire none again.
+
+        Those of `unsettled` pools end with their lease, since calls under
+        their fence may still be carried out.
+        """
         self._stopping = True
         self._notify_changed()
         for role in list(self.roles.values()):
-            await self._role_leases.release_role(role)
+            if role.pool in unsettled:
+                role.lost = True
+            else:
+                await self._role_leases.release_role(role)
 
     async def wait_until_left(self, role: Role) -> None:
         """Wait until this gateway no longer holds a role."""
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -14,6 +14,7 @@
 import trio
 
 from . import const
+from ..duties.models import is_duty
 from ..pool_holders.coordinator import HolderCoordinator
 from ..ports.kv import KvError
 from ..ports.submissions import SubmissionPeer
@@ -143,7 +144,7 @@
         """Read results from the other gateways that hold a pool."""
         for pool in list(self._holders.holders):
             record = self._holders.find_remote_holder(pool)
-            if record is None:
+            if record is None or is_duty(pool):
                 continue
             page = await self._peer.fetch_results(
                 record.peer, submission, after, wait_s
