--- a/features/support/usage_scenarios.py
+++ b/features/support/usage_scenarios.py
@@ -8,7 +8,9 @@
 import msgspec
 from pistachiospar.adapters.http.client import Address
 from pistachiospar.duties.models import DutySettings
+from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.platform.cloud import UsageMessage
+from pistachiospar.usage.holder import UsageTerm
 from pistachiospar_standins.fakes.cloud import DutyArrival
 from pistachiospar_standins.fakes.cloud import USAGE
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
@@ -48,6 +50,52 @@
     rng: Random
     calls: list[CountedCall] = field(default_factory=list)
     frozen_until: dict[str, float] = field(default_factory=dict)
+    incarnations: set[GatewayCoordinator] = field(default_factory=set)
+    durable_until: dict[str, float] = field(default_factory=dict)
+
+    async def observe(self) -> None:
+        """Note up to when the counts of each gateway must be durable.
+
+        They must once a holder in touch has served for some time.
+        """
+        touch: dict[str, tuple[object, float]] = {}
+        while True:
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            term = self._find_term()
+            for name, running in self.fleet.running.items():
+                self.incarnations.add(running.coordinator)
+                if term is None or name in self.frozen_until:
+                    touch.pop(name, None)
+                    continue
+                process = (term, running.coordinator)
+                known, since = touch.setdefault(name, (process, now))
+                if known != process:
+                    touch[name] = (process, now)
+                elif now - since > LAST_MOMENTS_S:
+                    self.durable_until[name] = now - LAST_MOMENTS_S
+
+    def _find_term(self) -> UsageTerm | None:
+        """Return the term of the holder, None while something ails it."""
+        for name, running in self.fleet.running.items():
+            usage = running.coordinator.usage
+            if usage is None or usage.term is None:
+                continue
+            if name not in self.frozen_until and not (
+                running.kv.faults.lose_reply_every
+            ):
+                return usage.term
+        return None
+
+    def count_late(self, window: int, organisation: str) -> int:
+        """Return the calls that were logged as too late for a window."""
+        return sum(
+            late.number
+            for coordinator in self.incarnations
+            if coordinator.usage is not None
+            for late in coordinator.usage.list_late()
+            if (late.window, late.organisation) == (window, organisation)
+        )
 
     async def count_calls(self, name: str, per_s: float) -> None:
         """Count calls at a gateway at random times, until cancelled."""
@@ -64,10 +112,10 @@
             self.calls.append(CountedCall(name, organisation, now_s))
 
     def kill(self, name: str) -> None:
-        """Kill a gateway; its last moments may be lost."""
-        now = trio.current_time()
+        """Kill a gateway; what isn't durable is lost."""
+        since = self.durable_until.get(name, 0.0)
         for call in self.calls:
-            if call.gateway == name and now - call.at < LAST_MOMENTS_S:
+            if call.gateway == name and call.at > since:
                 call.excused = True
         self.fleet.kill_gateway(name)
 
@@ -172,6 +220,7 @@
         for organisation in ORGANISATIONS:
             own = [c for c in calls if c.organisation == organisation]
             needed = sum(not call.excused for call in own)
+            needed -= run.count_late(window, organisation)
             count = message.counts.get(organisation, 0)
             if not needed <= count <= len(own):
                 yield (
@@ -199,6 +248,7 @@
         run = UsageRun(fleet, rng)
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
+            nursery.start_soon(run.observe)
             for number in range(plan.gateways):
                 nursery.start_soon(
                     run.count_calls, f"g{number}", rng.choice((0.3, 2.0, 9.0))
--- a/packages/pistachiospar/src/pistachiospar/usage/const.py
+++ b/packages/pistachiospar/src/pistachiospar/usage/const.py
@@ -37,4 +37,5 @@
 CLOCK_SAMPLES: Final = 41
 # Counts of windows that begin later than this can't be right.
 MAX_AHEAD_S: Final = 60.0
+KEPT_LATE_COUNTS: Final = 50
 FINISH_TIMEOUT_S: Final = 2.0
--- a/packages/pistachiospar/src/pistachiospar/usage/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/usage/coordinator.py
@@ -4,6 +4,7 @@
 isn't durable again, and every step of the holder is stored before it counts.
 """
 
+from collections import deque
 from random import Random
 
 from result import Err
@@ -31,6 +32,7 @@
 from .clock import SteadyClock
 from .holder import UsageTerm
 from .holder import UsageTools
+from .ledger import LateCount
 from .messages import CountsMessage
 from .messages import CountsReceipt
 from .recorder import UsageRecorder
@@ -74,6 +76,7 @@
             self.clock.read_s,
             metrics,
             rng,
+            deque(maxlen=const.KEPT_LATE_COUNTS),
         )
         self._metrics = metrics
         self.term: UsageTerm | None = None
@@ -96,6 +99,10 @@
         holder = self._holders.holders.get(POOL)
         return holder.gateway if holder else ""
 
+    def list_late(self) -> list[LateCount]:
+        """Return the last counts that came too late here."""
+        return list(self._tools.late)
+
     def receive(self, message: CountsMessage) -> CountsReceipt | None:
         """Take a gateway's counts; None unless this one has the duty."""
         return None if self.term is None else self.term.receive(message)
--- a/packages/pistachiospar/src/pistachiospar/usage/holder.py
+++ b/packages/pistachiospar/src/pistachiospar/usage/holder.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections import deque
 from dataclasses import dataclass
 from random import Random
 
@@ -20,6 +21,7 @@
 from .archive import StoredUsage
 from .archive import UsageArchive
 from .archive import UsageWrite
+from .ledger import LateCount
 from .ledger import UsageLedger
 from .messages import CountsMessage
 from .messages import CountsReceipt
@@ -56,6 +58,7 @@
     read_now_s: Callable[[], float]
     metrics: Metrics
     rng: Random
+    late: deque[LateCount]
 
 
 class UsageTerm:
@@ -119,6 +122,7 @@
     async def _write_changes(self) -> bool:
         """Store new counts and fix windows; False when that failed."""
         for late in self.ledger.take_late():
+            self._tools.late.append(late)
             self._tools.metrics.count("usage_late_counts", late.number)
             log_event(
                 "usage_count_late",
