--- a/features/support/usage_scenarios.py
+++ b/features/support/usage_scenarios.py
@@ -78,7 +78,7 @@
     def _find_term(self) -> UsageTerm | None:
         """Return the term of the holder, None while something ails it."""
         for name, running in self.fleet.running.items():
-            usage = running.coordinator.usage
+            usage = running.coordinator.duties.usage
             if usage is None or usage.term is None:
                 continue
             if name not in self.frozen_until and not (
@@ -92,8 +92,8 @@
         return sum(
             late.number
             for coordinator in self.incarnations
-            if coordinator.usage is not None
-            for late in coordinator.usage.list_late()
+            if coordinator.duties.usage is not None
+            for late in coordinator.duties.usage.list_late()
             if (late.window, late.organisation) == (window, organisation)
         )
 
@@ -104,7 +104,7 @@
             running = self.fleet.running.get(name)
             if running is None or name in self.frozen_until:
                 continue
-            usage = running.coordinator.usage
+            usage = running.coordinator.duties.usage
             assert usage is not None
             organisation = self.rng.choice(ORGANISATIONS)
             now_s = usage.clock.read_s()
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -1,12 +1,9 @@
 """A few gateways over in-memory fakes, in virtual time."""
 
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
 import msgspec
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.duties.models import DutySettings
 from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.gateway.models import GatewayIdentity
 from pistachiospar.kv_access.calls import execute_for_peer
@@ -33,6 +30,8 @@
 from ..kv.store import Store
 from .cloud import FakeCloud
 from .cloud import FakeCloudClient
+from .gateway_plan import GatewayPlan
+from .gateway_plan import RunningGateway
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
@@ -52,49 +51,6 @@
 LIST_UPDATE_INTERVAL_S = 0.3
 
 
-@dataclass(slots=True)
-class RunningGateway:
-    """One incarnation of a gateway.
-
-    `suspended_s` is the time in seconds for which its machine was suspended:
-    only the boot clock counts it. `requests` are the scopes of the requests
-    that it serves, which end with it.
-    """
-
-    coordinator: GatewayCoordinator
-    kv: PolledFakeKeyValue
-    scope: trio.CancelScope
-    suspended_s: float = 0.0
-    requests: set[trio.CancelScope] = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class GatewayPlan:
-    """The size and settings of a small fleet of gateways.
-
-    `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream. `lost_count_share` is the share of the lost replies to
-    counts for the usage report.
-    """
-
-    gateways: int = 3
-    samplers: int = 4
-    apps: int = 2
-    models: tuple[str, ...] = ("m0", "m1")
-    slots: int = 4
-    seed: int = 0
-    max_attempts: int = 3
-    single_version: bool = False
-    max_age_s: float = 40.0
-    result_retention_s: float = 120.0
-    resumable: bool = True
-    is_first_start: bool = False
-    duties: DutySettings | None = None
-    require_fence: bool = True
-    lost_count_share: float = 0.0
-    faults: KvFaultSet = field(default_factory=KvFaultSet)
-
-
 class MemoryGatewayPeer:
     """A client with which one gateway calls the others, in memory."""
 
@@ -148,7 +104,7 @@
         running = self._fleet.running.get(address)
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
-        receipt = running.coordinator.receive_counts(message)
+        receipt = running.coordinator.duties.receive_counts(message)
         lost_share = self._fleet.plan.lost_count_share
         if lost_share and self._fleet.rng.random() < lost_share:
             return None
@@ -176,7 +132,12 @@
         return running.coordinator.origins.serve_find(call)
 
     async def fetch_results(
-        self, address: str, submission: str, after: int, wait_s: float
+        self,
+        address: str,
+        submission: str,
+        after: int,
+        wait_s: float,
+        organisation: str | None,
     ) -> ResultPage | None:
         """Return results; None when the peer is unreachable or lacks them."""
         await trio.sleep(0.001)
@@ -184,7 +145,7 @@
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
         reader = running.coordinator.reader
-        return await reader.read_local(submission, after, wait_s)
+        return await reader.read_local(submission, after, wait_s, organisation)
 
 
 class GatewayFleet:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -16,9 +16,10 @@
     `fingerprint` recognises the request when it comes again; empty for calls
     that are owed whatever instances they crash. A caller resumes the stream
     that began with the request `stream` after the event `after_event`.
-    `organisation` is None when no organisations are configured, and empty on
-    a public route. `meter` counts the call for the usage report, if it is to
-    be counted.
+    `organisation` is the name of the one it belongs to: empty for a public
+    call, None when no organisations are configured. The priority of `route`
+    is the organisation's if that has one.
+    `meter` counts the call for the usage report, if it is to be counted.
     """
 
     request_id: str
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -14,10 +14,10 @@
 from ..crashes.coordinator import CrashWatch
 from ..directory.coordinator import Directory
 from ..directory.models import DirectoryKeys
-from ..duties.const import DUTY_USAGE
 from ..duties.models import is_duty
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
+from ..forwarding.metering import MeteredForwarder
 from ..forwarding.selection import InstanceSelector
 from ..forwarding.streams import StreamForwarder
 from ..kv_access.calls import PollableKeyValue
@@ -48,16 +48,15 @@
 from ..submissions.runner import ItemRunner
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from ..usage.coordinator import POOL as USAGE_POOL
-from ..usage.coordinator import UsageCoordinator
-from ..usage.messages import CountsMessage
-from ..usage.messages import CountsReceipt
 from ..watch_relay.contact import StoreContact
 from ..watch_relay.coordinator import WatchRelay
 from ..watch_relay.server import WatchServer
 from ..weight_versions.coordinator import VersionCoordinator
+from .duties import GatewayDuties
 from .models import GatewayIdentity
+from .refusals import RefusalSender
 from .routes import GatewayHandler
+from .submission_calls import SubmissionHandler
 
 
 class GatewayPeers(
@@ -198,42 +197,47 @@
             self.crashes,
             self.metrics,
         )
-        self.usage: UsageCoordinator | None = None
-        duties = identity.duties
-        if duties and duty_client and DUTY_USAGE in duties.names:
-            self.usage = UsageCoordinator(
-                record,
-                duties,
-                identity.lease_s,
-                self.kv,
-                self.holders,
-                peer,
-                duty_client,
-                clocks,
-                self.metrics,
-                rng,
-            )
+        self.duties = GatewayDuties(
+            record,
+            identity.duties,
+            identity.lease_s,
+            self.kv,
+            self.holders,
+            peer,
+            duty_client,
+            clocks,
+            self.metrics,
+            rng,
+        )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
         self.reader = SubmissionReader(
             self.archive, self.holders, self._find_submission, peer
         )
+        refusals = RefusalSender(self.directory, self.metrics, rng)
         self.handler = GatewayHandler(
             self.directory,
-            self.forwarder,
-            StreamForwarder(
-                self._samplers,
-                selector,
-                self.health,
-                self.crashes,
-                self.origins,
+            MeteredForwarder(
+                self.forwarder,
+                StreamForwarder(
+                    self._samplers,
+                    selector,
+                    self.health,
+                    self.crashes,
+                    self.origins,
+                ),
+                self.duties.recorder,
             ),
-            self.archive,
-            self.reader,
-            clocks.read_wall_s,
+            SubmissionHandler(
+                self.archive,
+                self.reader,
+                refusals,
+                clocks.read_wall_s,
+                self.metrics,
+            ),
+            refusals,
+            identity.key_rules,
             self.metrics,
-            rng,
-            self.usage.recorder if self.usage else None,
         )
         self._confirmed_retirements: dict[str, int] = {}
         self._table_changed = trio.Event()
@@ -258,8 +262,7 @@
             nursery.start_soon(self.origins.run)
             nursery.start_soon(self.holders.publish_address)
             nursery.start_soon(self._compete_for_pools)
-            if self.usage is not None:
-                nursery.start_soon(self.usage.run)
+            nursery.start_soon(self.duties.run)
             task_status.started()
 
     async def hand_over(self) -> None:
@@ -271,19 +274,7 @@
             for name, role in self.holders.roles.items():
                 if not is_duty(name):
                     nursery.start_soon(self._flush_pool, name, role)
-        unsettled = set()
-        if self.usage is not None and not self.usage.guard.is_quiet():
-            unsettled.add(USAGE_POOL)
-        await self.holders.stop(unsettled)
-
-    async def finish(self) -> None:
-        """Pass on the last counts, once all requests have ended."""
-        if self.usage is not None:
-            await self.usage.finish()
-
-    def receive_counts(self, message: CountsMessage) -> CountsReceipt | None:
-        """Take another gateway's counts; None unless they are wanted here."""
-        return self.usage.receive(message) if self.usage else None
+        await self.holders.stop(self.duties.list_unsettled())
 
     async def _flush_pool(self, name: str, role: Role) -> None:
         """Store the state of a pool, unless another gateway takes it."""
@@ -356,6 +347,7 @@
             lambda host, path: self.directory.table.find_route(host, path),
             versions.record_version,
             self.metrics,
+            lambda: self.directory.table.organisations is not None,
         )
         return PoolCoordinator(
             name,
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -138,7 +138,7 @@
             for pool, role in gateway.holders.roles.items()
             if not is_duty(pool)
         ],
-        dump_usage(gateway.usage) if gateway.usage else None,
+        dump_usage(gateway.duties.usage) if gateway.duties.usage else None,
         [
             InstanceDump(
                 name,
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -1,8 +1,10 @@
 """Data classes of the gateway."""
 
 from dataclasses import dataclass
+from dataclasses import field
 
 from ..duties.models import DutySettings
+from ..organisations.models import KeyRules
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,8 +15,9 @@
     outlives its holder, `value_bytes` the largest value that the key-value
     service stores, `result_retention_s` how long an ended submission can
     still be read, `cpu_capacity` how much of a core it has. `is_first_start`
-    is set when all gateways start together for the first time. `duties` is
-    None when there are none.
+    is set when all gateways start together for the first time. `key_rules`
+    say by how old a configuration keys are checked. `duties` is None when
+    there are none.
     """
 
     name: str
@@ -25,4 +28,5 @@
     result_retention_s: float
     cpu_capacity: float = 1.0
     is_first_start: bool = False
+    key_rules: KeyRules = field(default_factory=KeyRules)
     duties: DutySettings | None = None
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -61,7 +61,7 @@
                 settings.result_retention_s,
                 settings.cpu_capacity,
                 settings.is_first_start,
-                settings.duties,
+                duties=settings.duties,
             ),
             PLATFORM_KEYS,
             direct_kv,
@@ -89,7 +89,7 @@
                 self.coordinator.watch_server.serve,
                 self.coordinator.limits.keeper.acquire,
                 self.coordinator.origins,
-                self.coordinator.receive_counts,
+                self.coordinator.duties.receive_counts,
             ).handle
         )
         self._ready_server = HttpServer(self._handle_readiness)
@@ -189,7 +189,7 @@
         end_at = started_at + self._settings.grace_s - const.DRAIN_MARGIN_S
         while self._server.active_requests and trio.current_time() < end_at:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
-        await self.coordinator.finish()
+        await self.coordinator.duties.finish()
         log_event("stopped", cut=self._server.active_requests)
 
 
