--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -1,7 +1,5 @@
 """A few gateways over in-memory fakes, in virtual time."""
 
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
 import msgspec
@@ -14,7 +12,6 @@
 from pistachiospar.limits.const import PERMIT_TIMEOUT_S
 from pistachiospar.limits.messages import PermitCall
 from pistachiospar.limits.messages import PermitReply
-from pistachiospar.organisations.models import KeyRules
 from pistachiospar.platform import const
 from pistachiospar.platform.directory import PLATFORM_KEYS
 from pistachiospar.pool_holders.clock import Clocks
@@ -23,12 +20,18 @@
 from pistachiospar.stream_origins.messages import FindOriginReply
 from pistachiospar.stream_origins.messages import StreamOrigin
 from pistachiospar.submissions.models import ResultPage
+from pistachiospar.usage.messages import CountsMessage
+from pistachiospar.usage.messages import CountsReceipt
 from pistachiospar.watch_relay.const import REPLY_MARGIN_S
 from pistachiospar.watch_relay.messages import FollowCall
 from pistachiospar.watch_relay.messages import FollowReply
 import trio
 
 from ..kv.store import Store
+from .cloud import FakeCloud
+from .cloud import FakeCloudClient
+from .gateway_plan import GatewayPlan
+from .gateway_plan import RunningGateway
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
@@ -48,48 +51,6 @@
 LIST_UPDATE_INTERVAL_S = 0.3
 
 
-@dataclass(slots=True)
-class RunningGateway:
-    """One incarnation of a gateway.
-
-    `suspended_s` is the time in seconds for which its machine was suspended:
-    only the boot clock counts it. `requests` are the scopes of the requests
-    that it serves, which end with it.
-    """
-
-    coordinator: GatewayCoordinator
-    kv: PolledFakeKeyValue
-    scope: trio.CancelScope
-    suspended_s: float = 0.0
-    requests: set[trio.CancelScope] = field(default_factory=set)
-
-
-@dataclass(slots=True)
-class GatewayPlan:
-    """The size and settings of a small fleet of gateways.
-
-    `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream, `tenants` the organisations and their keys.
-    """
-
-    gateways: int = 3
-    samplers: int = 4
-    apps: int = 2
-    models: tuple[str, ...] = ("m0", "m1")
-    slots: int = 4
-    seed: int = 0
-    max_attempts: int = 3
-    single_version: bool = False
-    max_age_s: float = 40.0
-    result_retention_s: float = 120.0
-    resumable: bool = True
-    is_first_start: bool = False
-    tenants: list[dict[str, object]] = field(default_factory=list)
-    public_routes: tuple[str, ...] = ()
-    key_rules: KeyRules = field(default_factory=KeyRules)
-    faults: KvFaultSet = field(default_factory=KvFaultSet)
-
-
 class MemoryGatewayPeer:
     """A client with which one gateway calls the others, in memory."""
 
@@ -137,6 +98,20 @@
             return PeerFailure.GONE
         return running.coordinator.limits.keeper.acquire(call)
 
+    async def send_counts(
+        self, address: str, message: CountsMessage
+    ) -> CountsReceipt | None:
+        """Send counts to a peer; None when it can't be reached."""
+        await trio.sleep(0.001)
+        running = self._fleet.running.get(address)
+        if running is None or not self._fleet.can_connect(self._name, address):
+            return None
+        receipt = running.coordinator.duties.receive_counts(message)
+        lost_share = self._fleet.plan.lost_count_share
+        if lost_share and self._fleet.rng.random() < lost_share:
+            return None
+        return receipt
+
     async def copy_origins(
         self, address: str, origins: list[StreamOrigin]
     ) -> bool:
@@ -188,6 +163,7 @@
         self.rng = Random(plan.seed)
         self.store = Store()
         self.cluster = SamplerCluster(self.rng)
+        self.cloud = FakeCloud(Random(plan.seed), plan.require_fence)
         self.running: dict[str, RunningGateway] = {}
         self.isolated: set[str] = set()
         self.suspended: set[str] = set()
@@ -201,6 +177,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Write the configuration; start all instances and gateways."""
         self._nursery = nursery
+        self.cloud.nursery = nursery
         self.write_configuration()
         for number in range(self.plan.samplers):
             self.add_sampler(f"s{number}", POOL)
@@ -234,6 +211,7 @@
                 self.plan.result_retention_s,
                 is_first_start=self._is_first_start,
                 key_rules=self.plan.key_rules,
+                duties=self.plan.duties,
             ),
             PLATFORM_KEYS,
             kv,
@@ -241,6 +219,7 @@
             MemoryGatewayPeer(self, name),
             Clocks(trio.current_time, read_boot_s),
             rng,
+            FakeCloudClient(self.cloud, name, self.isolated),
         )
         running = RunningGateway(coordinator, kv, scope)
         self.running[name] = running
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -14,8 +14,10 @@
 from ..crashes.coordinator import CrashWatch
 from ..directory.coordinator import Directory
 from ..directory.models import DirectoryKeys
+from ..duties.models import is_duty
 from ..forwarding.coordinator import Forwarder
 from ..forwarding.health import InstanceHealth
+from ..forwarding.metering import MeteredForwarder
 from ..forwarding.selection import InstanceSelector
 from ..forwarding.streams import StreamForwarder
 from ..kv_access.calls import PollableKeyValue
@@ -27,10 +29,12 @@
 from ..pool_holders.models import HolderRecord
 from ..pool_holders.models import Role
 from ..pool_holders.role_lease import RoleLeaseManager
+from ..ports.duties import DutyClient
 from ..ports.kv import KeyValue
 from ..ports.peer_kv import PeerKeyValue
 from ..ports.peer_origins import PeerOrigins
 from ..ports.peer_permits import PeerPermits
+from ..ports.peer_usage import PeerUsage
 from ..ports.peer_watch import PeerWatch
 from ..ports.sampler import SamplerClient
 from ..ports.submissions import SubmissionPeer
@@ -48,6 +52,7 @@
 from ..watch_relay.coordinator import WatchRelay
 from ..watch_relay.server import WatchServer
 from ..weight_versions.coordinator import VersionCoordinator
+from .duties import GatewayDuties
 from .models import GatewayIdentity
 from .refusals import RefusalSender
 from .routes import GatewayHandler
@@ -58,6 +63,7 @@
     PeerKeyValue,
     PeerOrigins,
     PeerPermits,
+    PeerUsage,
     PeerWatch,
     SubmissionPeer,
     Protocol,
@@ -77,8 +83,12 @@
         peer: GatewayPeers,
         clocks: Clocks,
         rng: Random,
+        duty_client: DutyClient | None = None,
     ) -> None:
-        """Connect the parts; `direct_kv` is the key-value service itself."""
+        """Connect the parts; `direct_kv` is the key-value service itself.
+
+        `duty_client` is needed only with duties.
+        """
         self.identity = identity
         self.metrics = Metrics()
         self._keys = keys
@@ -195,6 +205,18 @@
             self.crashes,
             self.metrics,
         )
+        self.duties = GatewayDuties(
+            record,
+            identity.duties,
+            identity.lease_s,
+            self.kv,
+            self.holders,
+            peer,
+            duty_client,
+            clocks,
+            self.metrics,
+            rng,
+        )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
         self.reader = SubmissionReader(
@@ -203,13 +225,16 @@
         refusals = RefusalSender(self.directory, self.metrics, rng)
         self.handler = GatewayHandler(
             self.directory,
-            self.forwarder,
-            StreamForwarder(
-                self._samplers,
-                selector,
-                self.health,
-                self.crashes,
-                self.origins,
+            MeteredForwarder(
+                self.forwarder,
+                StreamForwarder(
+                    self._samplers,
+                    selector,
+                    self.health,
+                    self.crashes,
+                    self.origins,
+                ),
+                self.duties.recorder,
             ),
             SubmissionHandler(
                 self.archive,
@@ -245,6 +270,7 @@
             nursery.start_soon(self.origins.run)
             nursery.start_soon(self.holders.publish_address)
             nursery.start_soon(self._compete_for_pools)
+            nursery.start_soon(self.duties.run)
             task_status.started()
 
     async def hand_over(self) -> None:
@@ -254,8 +280,9 @@
         """
         async with trio.open_nursery() as nursery:
             for name, role in self.holders.roles.items():
-                nursery.start_soon(self._flush_pool, name, role)
-        await self.holders.stop()
+                if not is_duty(name):
+                    nursery.start_soon(self._flush_pool, name, role)
+        await self.holders.stop(self.duties.list_unsettled())
 
     async def _flush_pool(self, name: str, role: Role) -> None:
         """Store the state of a pool, unless another gateway takes it."""
@@ -283,6 +310,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for upstream in self.directory.table.list_pools():
+                    if is_duty(upstream.name):
+                        continue
                     if upstream.name not in self.pools:
                         pool = self._create_pool(upstream.name)
                         self.pools[upstream.name] = pool
@@ -298,7 +327,7 @@
 
     async def _confirm_retirements(self) -> None:
         """Confirm requests to retire instances, which hold no state."""
-        if not self.holders.roles:
+        if all(is_duty(name) for name in self.holders.roles):
             return
         for name, revision in list(self.directory.retiring.items()):
             if self._confirmed_retirements.get(name) == revision:
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -15,6 +15,7 @@
 from . import const
 from ..const import MEBIBYTE
 from ..organisations.models import make_key_rules
+from ..platform.cloud import CloudClient
 from ..platform.directory import PLATFORM_KEYS
 from ..platform.samplers import PlatformSamplerClient
 from ..platform.settings import GatewaySettings
@@ -62,6 +63,7 @@
                 settings.cpu_capacity,
                 settings.is_first_start,
                 make_key_rules(settings.config_apply_s, settings.revoke_s),
+                duties=settings.duties,
             ),
             PLATFORM_KEYS,
             direct_kv,
@@ -69,6 +71,9 @@
             HttpGatewayPeer(),
             Clocks(),
             Random(),
+            CloudClient(settings.duties.address, settings.name)
+            if settings.duties
+            else None,
         )
         self._server = HttpServer(self.coordinator.handler.handle)
         limits = self._server.limits
@@ -86,6 +91,7 @@
                 self.coordinator.watch_server.serve,
                 self.coordinator.limits.keeper.acquire,
                 self.coordinator.origins,
+                self.coordinator.duties.receive_counts,
                 PLATFORM_KEYS.conceal,
             ).handle
         )
@@ -186,6 +192,7 @@
         end_at = started_at + self._settings.grace_s - const.DRAIN_MARGIN_S
         while self._server.active_requests and trio.current_time() < end_at:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self.coordinator.duties.finish()
         log_event("stopped", cut=self._server.active_requests)
 
 
