Test that no key is in the log of calls

Cause: a log line that shows a header would give keys to all who read logs.

Change: the case of keys in messages and records also collects all log lines of accepted and refused calls.

Measured: features/organisations.feature, 52 scenarios, pass.

--- a/features/support/organisation_cases.py
+++ b/features/support/organisation_cases.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import eliot
 import msgspec
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.kv_access.calls import execute_for_peer
@@ -265,8 +266,14 @@
 
 
 async def check_messages(fleet: GatewayFleet) -> list[str]:
-    """Check that no key is in messages to peers or in other records."""
+    """Check that no key is in messages to peers, other records or logs."""
+    lines: list[dict[str, object]] = []
+    eliot.add_destinations(lines.append)
     await submit(fleet, OLD_KEY, "sub")
+    await send_all(fleet, OTHER_KEY)
+    await send_all(fleet, NEW_KEY + " " + OLD_KEY)
+    await send_all(fleet, "un" + OLD_KEY)
+    await send(fleet, OTHER_KEY, "GET", "/lots/sub")
     await trio.sleep(4.0)
     change_tenants(fleet, [*TENANTS])
     await trio.sleep(APPLY_S)
@@ -293,8 +300,15 @@
         for item in fleet.store.items.values()
         if item.key != PLATFORM_KEYS.key_config
     ]
+    eliot.remove_destination(lines.append)
+    found += expect("lines", len(lines) > GATEWAYS, True)
+    logged = [repr(line).encode() for line in lines]
     secrets = [k.encode() for k in (OLD_KEY, NEW_KEY, OTHER_KEY)]
-    for what, texts in (("messages", sent), ("records", stored)):
+    for what, texts in (
+        ("messages", sent),
+        ("records", stored),
+        ("log", logged),
+    ):
         shown = sum(s in text for s in secrets for text in texts)
         found += expect(what, shown, 0)
     return found
