Test results of holders that don't compare organisations

Cause: without the reader's own comparison all tests passed.

Change: two cases in which a holder gives its pages to any organisation, with and without naming the submission's.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -66,6 +66,8 @@
       | items                                      |
       | items of a removed organisation            |
       | submissions of another organisation        |
+      | a holder that doesn't compare              |
+      | a holder of an earlier build               |
       | a submission of before                     |
       | the store is away                          |
       | the store is away, strict                  |
--- a/features/support/organisation_cases.py
+++ b/features/support/organisation_cases.py
@@ -208,6 +208,18 @@
     return found
 
 
+async def check_trusting_holder(fleet: GatewayFleet) -> list[str]:
+    """Check results of a holder that gives them to any organisation."""
+    fleet.compares_organisations = False
+    return await check_other_organisation(fleet)
+
+
+async def check_earlier_holder(fleet: GatewayFleet) -> list[str]:
+    """Check results of a holder that knows no organisations."""
+    fleet.names_organisations = False
+    return await check_trusting_holder(fleet)
+
+
 async def check_earlier_submission(fleet: GatewayFleet) -> list[str]:
     """Check that a submission without organisation is open to any key."""
     change_tenants(fleet, [])
@@ -324,6 +336,8 @@
     "items": check_items,
     "items of a removed organisation": check_removed_organisation,
     "submissions of another organisation": check_other_organisation,
+    "a holder that doesn't compare": check_trusting_holder,
+    "a holder of an earlier build": check_earlier_holder,
     "a submission of before": check_earlier_submission,
     "the store is away": check_store_away,
     "the store is away, strict": check_store_away_strict,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -29,6 +29,8 @@
 import trio
 
 from ..kv.store import Store
+from .configurations import HOST as HOST
+from .configurations import make_route
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
@@ -38,7 +40,6 @@
 
 POOL = "pool"
 APP = "app"
-HOST = "host.example"
 ROLLOUT_PREFIX = "/rollout/"
 SCORE_PREFIX = "/score/"
 PLAIN_PREFIX = "/plain/"
@@ -172,6 +173,11 @@
         if running is None or not self._fleet.can_connect(self._name, address):
             return None
         reader = running.coordinator.reader
+        if not self._fleet.compares_organisations:
+            page = await reader.read_local(submission, after, wait_s, None)
+            if page is None or self._fleet.names_organisations:
+                return page
+            return ResultPage(page.total, page.results)
         return await reader.read_local(submission, after, wait_s, organisation)
 
 
@@ -179,7 +185,8 @@
     """Gateways over one store and one cluster of instances.
 
     Those in `isolated` can't connect to others; those in `suspended` don't
-    reply to their followers.
+    reply to their followers. Peers compare the organisations of submissions,
+    and name them in pages of results, unless that is switched off.
     """
 
     def __init__(self, plan: GatewayPlan) -> None:
@@ -191,6 +198,8 @@
         self.running: dict[str, RunningGateway] = {}
         self.isolated: set[str] = set()
         self.suspended: set[str] = set()
+        self.compares_organisations = True
+        self.names_organisations = True
         self.addresses: dict[str, str] = {}
         self.listed_states: dict[str, str] = {}
         self.configuration_version = 0
@@ -312,15 +321,15 @@
         """Write the next version of the operator's configuration."""
         self.configuration_version += 1
         routes = [
-            _make_route("plain", PLAIN_PREFIX, "safe", APP),
-            _make_route("score", SCORE_PREFIX, "safe", APP),
+            make_route("plain", PLAIN_PREFIX, "safe", APP),
+            make_route("score", SCORE_PREFIX, "safe", APP),
             {
-                **_make_route("stream", STREAM_PREFIX, "safe", POOL),
+                **make_route("stream", STREAM_PREFIX, "safe", POOL),
                 "stream": True,
                 "resumable": self.plan.resumable,
             },
             {
-                **_make_route("roll", ROLLOUT_PREFIX, "rollout", POOL),
+                **make_route("roll", ROLLOUT_PREFIX, "rollout", POOL),
                 "resultDueMs": 7500,
                 "maxAgeS": self.plan.max_age_s,
                 "maxAttempts": self.plan.max_attempts,
@@ -384,20 +393,3 @@
     def _write(self, key: str, value: bytes) -> None:
         """Write a key as the operator or the platform does."""
         self.store.write(key, value, 0, trio.current_time())
-
-
-def _make_route(
-    name: str, prefix: str, kind: str, upstream: str
-) -> dict[str, object]:
-    """Return one route of the configuration, as JSON values."""
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": prefix,
-        "kind": kind,
-        "timeoutMs": 2000,
-        "targetLatencyMs": 400,
-        "priority": 1,
-        "maxAttempts": 3,
-        "service": upstream,
-    }
