--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/configurations.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/configurations.py
@@ -1,15 +1,13 @@
 """Parts of the configurations of a fleet of gateways."""
 
-HOST = "host.example"
-
 
 def make_route(
-    name: str, prefix: str, kind: str, upstream: str
+    host: str, name: str, prefix: str, kind: str, upstream: str
 ) -> dict[str, object]:
     """Return one route of the configuration, as JSON values."""
     return {
         "name": name,
-        "host": HOST,
+        "host": host,
         "prefix": prefix,
         "kind": kind,
         "timeoutMs": 2000,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -29,7 +29,6 @@
 import trio
 
 from ..kv.store import Store
-from .configurations import HOST as HOST
 from .configurations import make_route
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
@@ -40,6 +39,7 @@
 
 POOL = "pool"
 APP = "app"
+HOST = "host.example"
 ROLLOUT_PREFIX = "/rollout/"
 SCORE_PREFIX = "/score/"
 PLAIN_PREFIX = "/plain/"
@@ -321,15 +321,15 @@
         """Write the next version of the operator's configuration."""
         self.configuration_version += 1
         routes = [
-            make_route("plain", PLAIN_PREFIX, "safe", APP),
-            make_route("score", SCORE_PREFIX, "safe", APP),
+            make_route(HOST, "plain", PLAIN_PREFIX, "safe", APP),
+            make_route(HOST, "score", SCORE_PREFIX, "safe", APP),
             {
-                **make_route("stream", STREAM_PREFIX, "safe", POOL),
+                **make_route(HOST, "stream", STREAM_PREFIX, "safe", POOL),
                 "stream": True,
                 "resumable": self.plan.resumable,
             },
             {
-                **make_route("roll", ROLLOUT_PREFIX, "rollout", POOL),
+                **make_route(HOST, "roll", ROLLOUT_PREFIX, "rollout", POOL),
                 "resultDueMs": 7500,
                 "maxAgeS": self.plan.max_age_s,
                 "maxAttempts": self.plan.max_attempts,
