Lay items only where their memory is free

Cause: items were laid by free slots alone, so two long ones could run at a sampler whose memory holds one.

Change: reports give `kvUsed` and `kvTotal`, items `Token-Counts` and `Length-Hint`. An item is laid where its prompt, its expected output and a margin from the spread of lengths fit beside what runs there; the first that waits for memory holds the instance with the most left. One that needs more than any instance has runs alone; one whose prompt fits nowhere ends as failed ("memory"). Without report or counts all is as before, and no further reports are fetched. SlotAllocator moves to a module of its own.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -46,6 +46,22 @@
       | an instance without news counts as loaded as the others |
       | what was sent since a report counts |
       | the own zone is preferred |
+      | two long items where one fits |
+      | two long items at two instances |
+      | a short item beside a long one |
+      | a long item after another's end |
+      | items where the memory isn't known |
+      | items that don't tell what they need |
+      | a long item where others use the memory |
+      | a long item where others used the memory long ago |
+      | an item that needs more than there is runs alone |
+      | an instance that a long item waits for |
+      | the margin without experience |
+      | the margin after exact hints |
+      | the margin after poor hints |
+      | reports while nothing runs |
+      | reports while an item waits for memory |
+      | reports of instances that don't tell |
       | seldom callers spread over the instances                       |
       | without any instance a call is refused at once                 |
       | a call waits for an instance that is avoided for a while       |
@@ -95,6 +111,7 @@
       | an ended submission is deleted after its retention |
       | the next holder resumes the work of a crashed one  |
       | a delisted sampler gets no work                    |
+      | long items never run where only one fits |
       | a change missed by silent watches is known in time |
       | a holder that is cut off from the store notices it |
       | a holder that stays cut off commits without pauses |
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -17,6 +17,7 @@
 import trio
 
 from . import holder_cases
+from . import memory_cases
 from .histories import make_history
 from .histories import make_submission_request
 from .submission_checks import SubmissionHistory
@@ -351,6 +352,9 @@
     "an ended submission is deleted after its retention": check_retention,
     "the next holder resumes the work of a crashed one": check_holder_crash,
     "a delisted sampler gets no work": check_delisted_sampler,
+    "long items never run where only one fits": (
+        memory_cases.check_long_items
+    ),
     "a change missed by silent watches is known in time": check_silent_watches,
     **holder_cases.CASES,
     "only the holder follows named versions": check_named_versions,
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -28,6 +28,7 @@
 from pistachiospar.weight_versions.demand import share_instances
 
 from . import call_policies
+from . import memory_cases
 from . import permit_cases
 
 NOW = 100.0
@@ -187,6 +188,7 @@
 CASES: dict[str, tuple[Callable[[], object], object]] = {
     **call_policies.CASES,
     **permit_cases.CASES,
+    **memory_cases.CASES,
     "a checkpoint that is written fast is followed by the interval": (
         lambda: f"{choose_interval_s(0.05):.1f} s",
         "1.0 s",
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -81,7 +81,8 @@
 
     `loading` is a load in progress with the time of its end; `delayed_orders`
     are orders with a lost reply and the times at which they are applied;
-    `software` is the version of its software, `started_ms` its start.
+    `software` is the version of its software, `started_ms` its start;
+    `kv_used` and `kv_total` are what its reports say of its memory.
     """
 
     name: str
@@ -95,6 +96,8 @@
     running: int = 0
     software: str = "v1"
     started_ms: int = 1
+    kv_used: int | None = None
+    kv_total: int | None = None
     loading: tuple[float, LoadOrder] | None = None
     delayed_orders: list[tuple[float, LoadOrder]] = field(default_factory=list)
 
@@ -262,6 +265,8 @@
                 0,
                 dict(sampler.versions),
                 sampler.started_ms,
+                sampler.kv_used,
+                sampler.kv_total,
             )
         )
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
@@ -67,6 +67,8 @@
                 "waiting": report.waiting,
                 "running": report.running,
                 "born": report.started_ms,
+                "kvUsed": report.kv_used,
+                "kvTotal": report.kv_total,
                 "models": models,
             },
         )
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -317,6 +317,7 @@
             self.archive,
             self.directory,
             runner,
+            self._samplers,
             versions,
             self.health,
             self.limits,
--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -256,7 +256,7 @@
     """Convert an item; raises binascii.Error for a bad body."""
     scorer = message.scorer
     headers = {name.lower(): v for name, v in message.headers.items()}
-    output = headers.get(_TOKEN_COUNTS, "").rpartition(",")[2]
+    prompt, _, output = headers.get(_TOKEN_COUNTS, "").rpartition(",")
     expected = _read_float(headers.get(_LENGTH_HINT)) or _read_float(output)
     return Item(
         message.id,
@@ -273,6 +273,8 @@
             scorer.path,
             b64decode(scorer.body, validate=True),
         ),
+        int(_read_float(prompt) or 0.0),
+        int(_read_float(output) or 0.0),
     )
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -45,6 +45,7 @@
 MAX_IDLE_CONNECTIONS: Final = 64
 MAX_REPORT_BYTES: Final = MEBIBYTE
 MAX_LOGGED_HEADER: Final = 64
+MAX_TOKENS: Final = 10**12
 
 _RESERVED_HEADERS: Final = HOP_BY_HOP_HEADERS | {
     const.HEADER_DEADLINE_MS,
@@ -65,7 +66,8 @@
 class ReportMessage(msgspec.Struct):
     """A sampler's report; `sequence` counts the orders that it accepted.
 
-    `born` is the Unix time of its start, in ms.
+    `born` is the Unix time of its start, in ms. `kvUsed` and `kvTotal` count
+    the tokens in its memory; what isn't a number there counts as unknown.
     """
 
     busy: bool = False
@@ -74,6 +76,8 @@
     running: int = 0
     models: list[HeldModelMessage] = []
     born: int = 0
+    kvUsed: object = None
+    kvTotal: object = None
 
 
 class OrderMessage(msgspec.Struct):
@@ -204,6 +208,8 @@
                 message.waiting,
                 {model.name: model.version for model in message.models},
                 message.born,
+                _read_tokens(message.kvUsed),
+                _read_tokens(message.kvTotal),
             )
         )
 
@@ -305,6 +311,13 @@
     return headers
 
 
+def _read_tokens(value: object) -> int | None:
+    """Return a number of tokens, None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return None
+    return int(value) if 0 <= value < MAX_TOKENS else None
+
+
 def _read_limit(text: str | None) -> float | None:
     """Parse a number of requests a second, None for anything else."""
     if text is None or not DECIMAL_PATTERN.fullmatch(text.strip()):
--- a/packages/pistachiospar/src/pistachiospar/ports/sampler.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/sampler.py
@@ -120,6 +120,7 @@
     """An instance's own status report, some 100 ms old.
 
     `started_ms` is the Unix time of its start, 0 when it doesn't say.
+    `kv_used` and `kv_total` count the tokens in its memory, None likewise.
     """
 
     busy: bool
@@ -128,6 +129,8 @@
     waiting: int
     versions: dict[str, int] = field(default_factory=dict)
     started_ms: int = 0
+    kv_used: int | None = None
+    kv_total: int | None = None
 
 
 # An instance, the calls a second that its response names as its limit, None
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -42,6 +42,19 @@
 # of a faster one; its events move along and are read again in a few ms.
 SLOW_INSTANCE_RATIO: Final = 1.7
 MIN_RUN_BEFORE_MOVE_S: Final = 0.4
+# Mean absolute deviation of the logarithm of a text's length from its
+# estimate, before any is known; the margin is this many of it.
+INITIAL_LENGTH_SPREAD: Final = 0.4
+LENGTH_MARGIN_SPREADS: Final = 2.0
+# A report takes some 700 bytes and a gateway's control 6 KB/s at most.
+MEMORY_REPORTS_PER_S: Final = 8
+MEMORY_REPORT_INTERVAL_S: Final = 1.0
+MEMORY_RETRY_INTERVAL_S: Final = 10.0
+# Items for which a scheduling pass looks for memory in vain, before it leaves
+# those after them to the next one.
+MAX_MEMORY_MISSES: Final = 16
+# What others use of the memory counts for this long.
+MEMORY_REPORT_MAX_AGE_S: Final = 6.0
 ITEM_TIMEOUT_S: Final = 30.0
 # Submission records that a new holder reads concurrently.
 MAX_CONCURRENT_LOADS: Final = 8
--- a/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/coordinator.py
@@ -15,6 +15,7 @@
 from ..ports.kv import KeyValue
 from ..ports.kv import KvEvent
 from ..ports.kv import KvFault
+from ..ports.sampler import SamplerClient
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..weight_versions.coordinator import VersionCoordinator
@@ -46,6 +47,7 @@
         archive: Archive,
         directory: Directory,
         runner: ItemRunner,
+        samplers: SamplerClient,
         versions: VersionCoordinator,
         health: InstanceHealth,
         limits: InstanceLimits,
@@ -79,6 +81,7 @@
             self.registry,
             directory,
             runner,
+            samplers,
             versions,
             health,
             limits,
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -1,18 +1,22 @@
 """Dispatch of items to free slots, and moves away from slow instances."""
 
-from collections.abc import Callable
+import functools
 import math
 
+from result import Ok
 import trio
 
 from . import const
 from ..directory.coordinator import Directory
 from ..forwarding.health import InstanceHealth
 from ..limits.coordinator import InstanceLimits
+from ..ports.sampler import SamplerClient
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..weight_versions.coordinator import VersionCoordinator
+from .allocation import SlotAllocator
+from .memory import MemoryTable
 from .registry import ItemPhase
 from .registry import ItemState
 from .registry import SubmissionRegistry
@@ -20,8 +24,6 @@
 from .runner import fail_item
 from .runner import ItemRunner
 from .scheduling import choose_moves
-from .scheduling import choose_slot
-from .scheduling import may_continue
 from .scheduling import order_items
 from .scheduling import should_restart
 from .scheduling import SlotCandidate
@@ -29,65 +31,6 @@
 Instances = dict[str, ListedInstance]
 
 
-class SlotAllocator:
-    """Free slots of the instances during one scheduling pass."""
-
-    def __init__(
-        self,
-        candidates: dict[str, list[SlotCandidate]],
-        is_open: Callable[[str, int], bool],
-    ) -> None:
-        """Initialize from each model's candidates, which share their slots.
-
-        `is_open` returns whether an instance's limit may allow an item of
-        some urgency.
-        """
-        self._is_open = is_open
-        self.candidates = candidates
-        self.free = {
-            candidate.instance: candidate.free
-            for model_candidates in candidates.values()
-            for candidate in model_candidates
-        }
-        self._no_slot_from: dict[tuple[str, int, str | None], int] = {}
-
-    def allocate(
-        self,
-        submission: SubmissionState,
-        state: ItemState,
-        group_instance: str,
-        urgency: int,
-    ) -> SlotCandidate | None:
-        """Choose a slot for an item and take it; None when none is usable.
-
-        Without a slot for some version of a model there is none for a newer
-        version either, so later calls for it return None at once.
-        """
-        model = submission.submission.model
-        version = submission.submission.min_version
-        software = state.software if state.needs_version else None
-        key = (model, urgency, software)
-        if version >= self._no_slot_from.get(key, version + 1):
-            return None
-        candidate = choose_slot(
-            (
-                candidate
-                for candidate in self.candidates.get(model, [])
-                if self._is_open(candidate.instance, urgency)
-                and may_continue(state, candidate)
-            ),
-            self.free,
-            version,
-            group_instance,
-            state.avoided_instance,
-        )
-        if candidate is None:
-            self._no_slot_from[key] = version
-        else:
-            self.free[candidate.instance] -= 1
-        return candidate
-
-
 class ItemDispatcher:
     """Start, move and run the items of a pool."""
 
@@ -97,6 +40,7 @@
         registry: SubmissionRegistry,
         directory: Directory,
         runner: ItemRunner,
+        samplers: SamplerClient,
         versions: VersionCoordinator,
         health: InstanceHealth,
         limits: InstanceLimits,
@@ -110,12 +54,15 @@
         self._health = health
         self._limits = limits
         self._metrics = metrics
+        self._samplers = samplers
+        self._memory = MemoryTable()
         self._in_flight: dict[str, int] = {}
         self._group_instances: dict[tuple[str, str], str] = {}
 
     def clear(self) -> None:
         """Drop all state, once this gateway lost the role."""
         self._in_flight.clear()
+        self._memory.clear()
         self._group_instances.clear()
 
     def forget_submission(self, submission: str) -> None:
@@ -136,12 +83,15 @@
         Returns the free slots of each instance.
         """
         self._runner.event_intervals.retain_only(instances)
+        self._memory.retain_only(instances)
         open_submissions = self._registry.list_open()
         allocator = SlotAllocator(
             {m: self._list_candidates(instances, m, now) for m in models},
             lambda name, urgency: (
                 not self._limits.find_wait_s(instances[name], urgency, now)
             ),
+            self._memory,
+            now,
         )
         if not may_start:
             return allocator.free
@@ -149,8 +99,24 @@
             open_submissions, instances, allocator, now, nursery
         ):
             self._move_items(open_submissions, allocator, now)
+        if any(submission.needs_memory for submission in open_submissions):
+            unlimited = [
+                instance
+                for instance in instances.values()
+                if self._limits.find_limit(instance) is None
+            ]
+            awaited = allocator.is_memory_awaited
+            for instance in self._memory.list_due(unlimited, awaited, now):
+                nursery.start_soon(self._fetch_memory, instance)
         return allocator.free
 
+    async def _fetch_memory(self, instance: ListedInstance) -> None:
+        """Fetch and record an instance's memory."""
+        fetched = await self._samplers.fetch_report(instance)
+        report = fetched.ok_value if isinstance(fetched, Ok) else None
+        self._memory.record_report(instance, report, trio.current_time())
+        self._registry.notify_changed()
+
     def _start_items(
         self,
         open_submissions: list[SubmissionState],
@@ -161,13 +127,19 @@
     ) -> bool:
         """Start items on free slots; return whether some still wait."""
         any_waiting = False
+        max_prompt = self._memory.find_max_prompt(instances)
         urgencies = {
             submission.submission.id: self._find_urgency(submission)
             for submission in open_submissions
         }
         for submission, state in order_items(open_submissions, now):
+            reason = ""
             if now >= submission.give_up_at:
-                submission.finish_item(fail_item(state, "age"), now)
+                reason = "age"
+            elif state.item.prompt_tokens >= max_prompt:
+                reason = "memory"
+            if reason:
+                submission.finish_item(fail_item(state, reason), now)
                 self._registry.notify_changed()
                 continue
             group = (submission.submission.id, state.item.group)
@@ -247,6 +219,11 @@
         state.version_awaited_since = None
         in_flight = self._in_flight.get(candidate.instance, 0)
         self._in_flight[candidate.instance] = in_flight + 1
+        need = self._memory.estimate_need(
+            submission.submission.model, state.item
+        )
+        if need.prompt:
+            self._memory.start_item(candidate.instance, state, need)
         log_event(
             "item_started",
             item=state.item.id,
@@ -281,6 +258,9 @@
                 allocator.free,
                 submission.submission.min_version,
                 now,
+                functools.partial(
+                    allocator.may_lay, submission.submission.model
+                ),
             )
             for state in moves:
                 log_event(
@@ -389,7 +369,10 @@
         """Free an item's slot and record how long it was used."""
         in_flight = self._in_flight.get(instance.name, 1)
         self._in_flight[instance.name] = in_flight - 1
+        self._memory.end_item(instance.name, state)
         took_s = trio.current_time() - state.started_at
         model = submission.submission.model
         self._versions.demand.record_item(model, took_s)
+        if state.complete:
+            self._memory.record_length(model, state, trio.current_time())
         self._registry.notify_changed()
--- a/packages/pistachiospar/src/pistachiospar/submissions/models.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/models.py
@@ -17,7 +17,8 @@
 class Item(msgspec.Struct, frozen=True, array_like=True):
     """A requested sample.
 
-    `expected_tokens` estimates the length of its text, 0 when unknown.
+    `expected_tokens` estimates the length of its text, `max_tokens` bounds
+    it, `prompt_tokens` counts what it reads; they are 0 when unknown.
     """
 
     id: str
@@ -27,6 +28,8 @@
     group: str
     expected_tokens: float
     scorer: ScoreCall | None = None
+    prompt_tokens: int = 0
+    max_tokens: int = 0
 
 
 class Submission(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/pistachiospar/src/pistachiospar/submissions/registry.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/registry.py
@@ -73,6 +73,7 @@
 
     `committed` has the durable results in the order of their positions,
     `uncommitted` the others, the first of them since `uncommitted_since`.
+    `needs_memory` is set when items tell what they need of a sampler's memory.
     `results_changed` is set, and replaced by a new event, when results are
     committed and when the submission ends.
     """
@@ -87,6 +88,7 @@
     uncommitted_since: float = 0.0
     has_complete_group: bool = False
     ended: bool = False
+    needs_memory: bool = False
     results_changed: trio.Event = field(default_factory=trio.Event)
 
     def is_open(self) -> bool:
@@ -149,6 +151,7 @@
         now + max_age_s - age_s,
         items,
         groups,
+        needs_memory=any(item.prompt_tokens for item in submission.items),
     )
 
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/scheduling.py
@@ -1,5 +1,6 @@
 """Choice of the next item, its slot, and running items to move."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -140,10 +141,12 @@
     free: Mapping[str, int],
     min_version: int,
     now: float,
+    may_lay: Callable[[ItemState, str], bool] = lambda state, instance: True,
 ) -> list[ItemState]:
     """Return running items that a free slot would finish much sooner.
 
     Call it only when no item waits. Each move uses up one free slot.
+    `may_lay` returns whether an item fits into an instance's memory.
     """
     by_instance = {candidate.instance: candidate for candidate in candidates}
     usable = [
@@ -165,7 +168,9 @@
                 current.event_interval_s
                 > const.SLOW_INSTANCE_RATIO * candidate.event_interval_s
             )
-            if not may_continue(state, candidate):
+            if not may_continue(state, candidate) or not may_lay(
+                state, candidate.instance
+            ):
                 continue
             if faster and free_slots[candidate.instance] > 0:
                 free_slots[candidate.instance] -= 1
