Test what is read of a sampler's memory and an item's tokens

Cause: the rows of memory decide on given figures; nothing checked that the figures are read from a report and from Token-Counts, nor that a field of another type leaves the rest of the report readable.

Change: four rows in platform.feature.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -36,6 +36,8 @@
       | a load of two figures |
       | an order's response that names a limit |
       | a report that names a limit |
+      | a report that tells of its memory |
+      | a report whose memory can't be read |
       | a 503 that says the request did not run    |
       | a 500 response                             |
       | a stream                                   |
@@ -84,6 +86,8 @@
       | a route of an unknown kind            |
       | a route that is split                 |
       | a submission                          |
+      | the tokens of an item                 |
+      | tokens of an item without a prompt    |
       | a submission that is not JSON         |
       | a submission with a bad body          |
       | a request for results                 |
--- a/features/support/platform_decoding.py
+++ b/features/support/platform_decoding.py
@@ -59,6 +59,16 @@
     return f"{len(items)} items, {[i.expected_tokens for i in items]}"
 
 
+def decode_tokens(counts: bytes) -> str:
+    """Return an item's tokens: prompt, expected output, largest output."""
+    body = ITEM.replace(b"10,400", counts)
+    request = HttpRequest("POST", "/p/", "", {"request-id": "r"}, body)
+    caller = read_caller_headers(request)
+    [item] = read_submission(request, caller, 0.0).unwrap().items
+    found = item.prompt_tokens, item.expected_tokens, item.max_tokens
+    return " ".join(map(str, found))
+
+
 def decode_submission_request(method: str, target: str) -> str:
     """Decode a request on a submission; return it as text."""
     path, _, query = target.partition("?")
@@ -125,6 +135,14 @@
         "c s False",
     ),
     "a route that is split": (lambda: find_route("o", "/"), "d s+t True"),
+    "the tokens of an item": (
+        lambda: decode_tokens(b"10,400"),
+        "10 120.0 400",
+    ),
+    "tokens of an item without a prompt": (
+        lambda: decode_tokens(b"400"),
+        "0 120.0 400",
+    ),
     "a submission": (lambda: decode_submission(ITEM), "1 items, [120.0]"),
     "a submission that is not JSON": (
         lambda: decode_submission(b"{"),
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -193,6 +193,16 @@
         ["limit 4.0", "idle"],
         operation="report",
     ),
+    "a report that tells of its memory": ResponseCase(
+        (make_response("", b'{"kvUsed":5,"kvTotal":90}'),),
+        ["idle", "5 of 90 tokens"],
+        operation="report",
+    ),
+    "a report whose memory can't be read": ResponseCase(
+        (make_response("", b'{"kvUsed":true,"kvTotal":"9","busy":true}'),),
+        ["busy"],
+        operation="report",
+    ),
     **ENDLESS_CASES,
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
@@ -335,7 +345,11 @@
     fetched = await samplers.fetch_report(instance)
     if isinstance(fetched, Err):
         return ["no report"]
-    return ["busy" if fetched.ok_value.busy else "idle"]
+    report = fetched.ok_value
+    found = ["busy" if report.busy else "idle"]
+    if report.kv_total is not None:
+        found.append(f"{report.kv_used} of {report.kv_total} tokens")
+    return found
 
 
 async def _read_complete(
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
@@ -1,4 +1,4 @@
-"""Faults of the fakes of instances, records of what reached them."""
+"""Speed and faults of the fakes of instances, records of what reached them."""
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -7,6 +7,40 @@
 from pistachiospar.ports.sampler import InstanceLoad
 from pistachiospar.ports.sampler import StreamEvent
 
+EVENT_INTERVAL_S = 0.03
+LOAD_DURATION_S = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class SamplerSpeed:
+    """The speed of an instance; times are in seconds.
+
+    An event takes `event_interval_s`, and `event_interval_per_slot_s` more for
+    each busy slot. A prompt is read once, in `prompt_read_s`. Loads take
+    proportionally longer when more than `full_speed_loads` run at once.
+    """
+
+    event_interval_s: float = EVENT_INTERVAL_S
+    event_interval_per_slot_s: float = 0.0
+    prompt_read_s: float = 0.0
+    load_duration_s: float = LOAD_DURATION_S
+    full_speed_loads: int = 1_000_000
+
+    def compute_event_interval_s(self, busy_slots: int) -> float:
+        """Return the time between two events of a text, in seconds."""
+        return (
+            self.event_interval_s + self.event_interval_per_slot_s * busy_slots
+        )
+
+    def compute_load_duration_s(self, running_loads: int) -> float:
+        """Return the duration of a load, in seconds.
+
+        `running_loads` includes this load.
+        """
+        return self.load_duration_s * max(
+            1.0, running_loads / self.full_speed_loads
+        )
+
 
 @dataclass(slots=True)
 class SamplerFaults:
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -33,9 +33,8 @@
 from .sampler_records import OrderRecord
 from .sampler_records import RunRecord
 from .sampler_records import SamplerFaults
+from .sampler_records import SamplerSpeed
 
-EVENT_INTERVAL_S = 0.03
-LOAD_DURATION_S = 0.9
 MAX_ORDER_DELAY_S = 4.0
 PLAIN_CALL_DURATION_S = 0.03
 CRASH_DELAY_S = 0.05
@@ -44,37 +43,6 @@
 STREAMED_PREFIXES = ("/rollout/", "/stream/")
 
 
-@dataclass(frozen=True, slots=True)
-class SamplerSpeed:
-    """The speed of an instance; times are in seconds.
-
-    An event takes `event_interval_s`, and `event_interval_per_slot_s` more for
-    each busy slot. A prompt is read once, in `prompt_read_s`. Loads take
-    proportionally longer when more than `full_speed_loads` run at once.
-    """
-
-    event_interval_s: float = EVENT_INTERVAL_S
-    event_interval_per_slot_s: float = 0.0
-    prompt_read_s: float = 0.0
-    load_duration_s: float = LOAD_DURATION_S
-    full_speed_loads: int = 1_000_000
-
-    def compute_event_interval_s(self, busy_slots: int) -> float:
-        """Return the time between two events of a text, in seconds."""
-        return (
-            self.event_interval_s + self.event_interval_per_slot_s * busy_slots
-        )
-
-    def compute_load_duration_s(self, running_loads: int) -> float:
-        """Return the duration of a load, in seconds.
-
-        `running_loads` includes this load.
-        """
-        return self.load_duration_s * max(
-            1.0, running_loads / self.full_speed_loads
-        )
-
-
 @dataclass(slots=True)
 class FakeSampler:
     """The state of one instance.
