--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -30,9 +30,9 @@
 from ..kv.store import Store
 from .cloud import FakeCloud
 from .cloud import FakeCloudClient
+from .configurations import make_route
 from .gateway_plan import GatewayPlan
 from .gateway_plan import RunningGateway
-from .configurations import make_route
 from .kv import KvFaultSet
 from .kv import PolledFakeKeyValue
 from .recorders import ResponseRecorder
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -233,7 +233,7 @@
             return False
         now = trio.current_time()
         instance = self.selector.pick_instance(
-            attempts.call.route, attempts.tried, now
+            attempts.call, attempts.tried, now
         )
         if instance is None:
             return False
@@ -270,7 +270,6 @@
     ) -> CallOutcome:
         """Call an instance, and record load, duration and failures."""
         call = attempts.call
-        state = self._health.get_state(instance.name)
         started_at = trio.current_time()
         sampler_call = SamplerCall(
             call.request_id,
@@ -283,12 +282,21 @@
             max_wait_s=max(0.0, attempts.permit_wait_until - started_at),
             organisation=call.organisation,
         )
-        state.in_flight += 1
         sent = True
         metered_at_s = call.meter.record_sent() if call.meter else 0.0
         try:
-            async with self._samplers.call(instance, sampler_call) as response:
-                outcome = await self._read_response(response, instance.name)
+            with self._health.track_call(
+                instance.name,
+                instance.slots,
+                call.classify(instance.upstream),
+                started_at,
+            ) as open_call:
+                async with self._samplers.call(
+                    instance, sampler_call
+                ) as response:
+                    outcome = await self._read_response(
+                        response, instance.name
+                    )
         except UpstreamLimitError as error:
             if call.meter:
                 call.meter.record_refused(metered_at_s)
@@ -302,14 +310,19 @@
                 attempts.crashes += await self._crashes.inspect_loss(
                     instance, call.fingerprint, call.request_id
                 )
-        finally:
-            state.in_flight -= 1
         match outcome:
             case CallFailure(FailureKind.NOT_RUN) if call.meter:
                 call.meter.record_refused(metered_at_s)
-        if call.fingerprint and isinstance(outcome, CallResponse):
-            self._crashes.record_response(call.fingerprint)
         now = trio.current_time()
+        if isinstance(outcome, CallResponse):
+            if call.fingerprint:
+                self._crashes.record_response(call.fingerprint)
+            # A call may have waited at a limit, which costs the instance
+            # nothing.
+            if outcome.status in SUCCESSES and self.selector.may_hedge_at(
+                instance
+            ):
+                self._health.record_cost(instance.name, open_call, now)
         self._record_outcome(
             instance.name, outcome, now - started_at, sent, now
         )
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -174,6 +174,7 @@
             stream=resumed.stream if resumed else "",
             after_event=resumed.after_event if resumed else 0,
             organisation=organisation,
+            tokens=caller.tokens,
         )
         outcome = await self._forwarder.forward(call, exchange)
         took_s = trio.current_time() - arrived_at
