--- a/features/support/usage_scenarios.py
+++ b/features/support/usage_scenarios.py
@@ -29,6 +29,7 @@
 # Counts of the last moments before a kill may be lost: they are sent once a
 # second, and stored at most a second later.
 LAST_MOMENTS_S = 2.1
+STOP_TIMEOUT_S = 4.0
 HOLDER_KEY = "duty/usage"
 
 
@@ -126,6 +127,17 @@
         if name not in self.fleet.running:
             self.fleet.start_gateway(name)
 
+    async def stop_for(self, name: str, seconds: float) -> None:
+        """Stop a gateway in order and start it again."""
+        running = self.fleet.running.get(name)
+        if running is None or name in self.frozen_until:
+            return
+        with trio.move_on_after(STOP_TIMEOUT_S):
+            await running.coordinator.hand_over()
+            await running.coordinator.duties.finish()
+        if self.fleet.running.get(name) is running:
+            await self.kill_for(name, seconds)
+
     async def cut_for(self, name: str, seconds: float) -> None:
         """Cut a gateway off from all others, store and interface.
 
@@ -275,13 +287,15 @@
         names = sorted(run.fleet.running)
         name = holder if holder and rng.random() < 0.7 else rng.choice(names)
         seconds = rng.uniform(0.5, 6.0)
-        match rng.randrange(4):
+        match rng.randrange(5):
             case 0:
                 nursery.start_soon(run.kill_for, name, seconds)
             case 1:
                 nursery.start_soon(run.cut_for, name, seconds)
             case 2:
                 nursery.start_soon(run.lose_replies, name, seconds)
+            case 3:
+                nursery.start_soon(run.stop_for, name, seconds)
             case _:
                 faults.down = True
                 await trio.sleep(seconds)
