--- a/features/support/usage_scenarios.py
+++ b/features/support/usage_scenarios.py
@@ -29,6 +29,7 @@
 # Counts of the last moments before a kill may be lost: they are sent once a
 # second, and stored at most a second later.
 LAST_MOMENTS_S = 2.1
+LATE_CALL_WAIT_S = 6.0
 STOP_TIMEOUT_S = 4.0
 HOLDER_KEY = "duty/usage"
 
@@ -139,20 +140,24 @@
             await self.kill_for(name, seconds)
 
     async def cut_for(self, name: str, seconds: float) -> None:
-        """Cut a gateway off from all others, store and interface.
+        """Cut a gateway off from all others and the store.
 
-        Its calls hang, as those of a frozen process do.
+        Maybe from the interface too: all its calls hang then, as those of a
+        frozen process do.
         """
         running = self.fleet.running.get(name)
         if running is None or name in self.frozen_until:
             return
         self.frozen_until[name] = trio.current_time() + seconds
         self.fleet.isolated.add(name)
+        if self.rng.random() < 0.5:
+            self.fleet.cloud.cut.add(name)
         faults = running.kv.faults
         faults.latency_s, faults.silent_poll = 3.0, True
         await trio.sleep(seconds)
         faults.latency_s, faults.silent_poll = 0.002, False
         self.fleet.isolated.discard(name)
+        self.fleet.cloud.cut.discard(name)
         del self.frozen_until[name]
 
     async def lose_replies(self, name: str, seconds: float) -> None:
@@ -274,15 +279,29 @@
     return run_virtual(work, seed, MAX_VIRTUAL_S)
 
 
+async def wait_for_late_call(run: UsageRun) -> None:
+    """Wait until a call of the holder will be carried out later.
+
+    A fault is worst then, as another gateway may make calls before.
+    """
+    known = run.fleet.cloud.late_calls
+    with trio.move_on_after(LATE_CALL_WAIT_S):
+        while run.fleet.cloud.late_calls == known:
+            await trio.sleep(0.05)
+        await trio.sleep(run.rng.uniform(0.0, 1.0))
+
+
 async def inject_faults(run: UsageRun, nursery: trio.Nursery) -> None:
     """Inject random faults, mostly at the holder, then end them."""
     rng, faults = run.rng, run.fleet.cloud.faults
     ends_at = trio.current_time() + FAULT_SPAN_S
     faults.lost_share = rng.choice((0.0, 0.2))
-    faults.late_share = rng.choice((0.0, 0.3))
+    faults.late_share = rng.choice((0.0, 0.5))
     faults.limited_share = rng.choice((0.0, 0.2))
     while trio.current_time() < ends_at:
         await trio.sleep(rng.uniform(1.0, 8.0))
+        if rng.random() < 0.7:
+            await wait_for_late_call(run)
         holder = run.find_holder()
         names = sorted(run.fleet.running)
         name = holder if holder and rng.random() < 0.7 else rng.choice(names)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/cloud.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/cloud.py
@@ -28,25 +28,31 @@
 class CloudFaults:
     """Shares of the calls that fail, and whether all do.
 
-    A late call has no response and is carried out up to `late_s` later.
+    A late call has no response and is carried out some seconds later, from
+    half of `late_s` on.
     """
 
     lost_share: float = 0.0
     late_share: float = 0.0
     limited_share: float = 0.0
-    late_s: float = 5.0
+    late_s: float = 4.0
     down: bool = False
 
 
 @dataclass(slots=True)
 class FakeCloud:
-    """The interface; without `require_fence` it checks nothing."""
+    """The interface; without `require_fence` it checks nothing.
+
+    Gateways in `cut` can't reach it.
+    """
 
     rng: Random
     require_fence: bool = True
     faults: CloudFaults = field(default_factory=CloudFaults)
     arrivals: list[DutyArrival] = field(default_factory=list)
     fenced: list[DutyArrival] = field(default_factory=list)
+    late_calls: int = 0
+    cut: set[str] = field(default_factory=set)
     nursery: trio.Nursery | None = None
 
     def carry_out(self, arrival: DutyArrival) -> DutyOutcome:
@@ -63,13 +69,12 @@
 
 
 class FakeCloudClient:
-    """A gateway's client; calls are not made while it is in `cut`."""
+    """A gateway's client."""
 
-    def __init__(self, cloud: FakeCloud, holder: str, cut: set[str]) -> None:
+    def __init__(self, cloud: FakeCloud, holder: str) -> None:
         """Call as the gateway `holder`."""
         self._cloud = cloud
         self._holder = holder
-        self._cut = cut
 
     def encode_usage(self, window: int, counts: dict[str, int]) -> bytes:
         """Encode a report."""
@@ -94,13 +99,14 @@
         """Make one call."""
         cloud, faults = self._cloud, self._cloud.faults
         await trio.sleep(0.01)
-        while self._holder in self._cut or faults.down:
+        while self._holder in cloud.cut or faults.down:
             await trio.sleep(0.05)
         if cloud.rng.random() < faults.limited_share:
             return DutyOutcome.LIMITED
         if cloud.rng.random() < faults.late_share:
             assert cloud.nursery is not None
-            delay_s = cloud.rng.uniform(0.0, faults.late_s)
+            cloud.late_calls += 1
+            delay_s = cloud.rng.uniform(0.5, 1.0) * faults.late_s
             cloud.nursery.start_soon(
                 self._carry_out_late, fence, subject, body, delay_s
             )
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -216,7 +216,7 @@
             MemoryGatewayPeer(self, name),
             Clocks(trio.current_time, read_boot_s),
             rng,
-            FakeCloudClient(self.cloud, name, self.isolated),
+            FakeCloudClient(self.cloud, name),
         )
         running = RunningGateway(coordinator, kv, scope)
         self.running[name] = running
