--- a/features/support/duty_cases.py
+++ b/features/support/duty_cases.py
@@ -62,6 +62,12 @@
         self.role.fence = fence or self.role.fence
         return self
 
+    def stop(self) -> str:
+        """Return how the duty is given up when the gateway stops."""
+        if self.guard.is_quiet():
+            return "releases the duty"
+        return "lets the lease end"
+
     def explain(self) -> str:
         """Return why no call may be made."""
         return self.guard.explain_refusal()
@@ -81,6 +87,14 @@
     return run.explain()
 
 
+def stop_during_call() -> str:
+    """Stop while a call is under way."""
+    run = GuardRun().begin(None)
+    with run.guard.track_call() as outcomes:
+        outcomes.append(DutyOutcome.DONE)
+        return run.stop()
+
+
 GUARD_CASES: dict[str, Callable[[], str]] = {
     "first holder of all": lambda: GuardRun().begin(None).explain(),
     "after another holder": lambda: (
@@ -101,6 +115,24 @@
     "role has a new fence": lambda: (
         GuardRun().begin(None).advance(0.0, fence=8).explain()
     ),
+    "stops, all calls have a response": lambda: (
+        GuardRun().begin(None).call(DutyOutcome.DONE).stop()
+    ),
+    "stops, a call has no response": lambda: (
+        GuardRun()
+        .begin(None)
+        .call(DutyOutcome.FAILED)
+        .advance(1.9 * LEASE_S)
+        .stop()
+    ),
+    "stops, a call is under way": stop_during_call,
+    "stops, long after such a call": lambda: (
+        GuardRun()
+        .begin(None)
+        .call(DutyOutcome.FAILED)
+        .advance(2 * LEASE_S)
+        .stop()
+    ),
     "fence was refused": lambda: (
         GuardRun().begin(None).call(DutyOutcome.FENCED).explain()
     ),
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -48,6 +48,17 @@
       | fence was refused                  | the fence was refused              |
       | new fence after a refused one      | waits for calls of the holder before |
 
+  Scenario Outline: A holder that stops: <case>
+    When a holder of a duty decides on a call: <case>
+    Then its reason is "<reason>"
+
+    Examples:
+      | case                             | reason             |
+      | stops, all calls have a response | releases the duty  |
+      | stops, a call has no response    | lets the lease end |
+      | stops, a call is under way       | lets the lease end |
+      | stops, long after such a call    | releases the duty  |
+
   Scenario: Counts come again, in any order, or not at all
     When counts of gateways are merged in random orders
     Then no bound is broken
