Load the holder's part of usage reports only where it is held

The last counts are passed on within the grace, counts of windows far ahead are logged, and a scenario refuses a fence.

--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -48,6 +48,12 @@
     assert not context.reason, context.reason
 
 
+@when("the interface has seen a higher fence than the holder's")
+def refuse_fence(context: Context) -> None:
+    """Let the interface refuse a fence."""
+    context.violations = usage_calls.find_refused_violations()
+
+
 @when("counts of gateways are merged in random orders")
 def merge_counts(context: Context) -> None:
     """Merge counts."""
--- a/features/support/usage_calls.py
+++ b/features/support/usage_calls.py
@@ -8,6 +8,8 @@
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.models import HttpResponse
 from pistachiospar.platform import const
+from pistachiospar_standins.fakes.cloud import DutyArrival
+from pistachiospar_standins.fakes.cloud import USAGE
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
@@ -20,6 +22,7 @@
 from .caller_streams import make_stream_name
 from .histories import make_history
 from .histories import make_submission_request
+from .usage_scenarios import HOLDER_KEY
 from .usage_scenarios import SETTINGS
 from .usage_scenarios import UsageRun
 from .usage_scenarios import WINDOW_S
@@ -179,6 +182,34 @@
     return run_virtual(work, plan.seed, MAX_VIRTUAL_S)
 
 
+def find_refused_violations() -> list[str]:
+    """Let a fence be refused; a new one must be used, after a lease."""
+    plan = GatewayPlan(duties=SETTINGS, samplers=0, is_first_start=True)
+
+    async def work() -> list[str]:
+        fleet = GatewayFleet(plan)
+        run = UsageRun(fleet, fleet.rng)
+        async with trio.open_nursery() as nursery:
+            await fleet.start(nursery)
+            await trio.sleep(10.0)
+            holder = run.find_holder()
+            assert holder is not None
+            role = fleet.running[holder].coordinator.holders.roles[HOLDER_KEY]
+            seen = DutyArrival(10.0, "outside", role.fence + 1, USAGE, b"")
+            fleet.cloud.arrivals.append(seen)
+            await trio.sleep(20.0)
+            reports = [a for a in fleet.cloud.arrivals if a is not seen]
+            refused = [a.fence for a in fleet.cloud.fenced]
+            nursery.cancel_scope.cancel()
+        problems = [] if len(refused) == 1 else [f"refused {refused}"]
+        after = [a for a in reports if a.fence > seen.fence]
+        if len(after) < 2:
+            problems.append(f"only {len(after)} reports after the refusal")
+        return problems
+
+    return run_virtual(work, plan.seed, MAX_VIRTUAL_S)
+
+
 def find_idle_violations() -> list[str]:
     """Run gateways without duties; return what they did for them."""
     plan = GatewayPlan(gateways=2, samplers=0)
--- a/features/support/usage_cases.py
+++ b/features/support/usage_cases.py
@@ -107,6 +107,11 @@
     problems = [] if due == [(0, {"org": 2})] else [f"fixed {due}"]
     if [(f.window, f.number, f.certain) for f in found] != [(0, 3, True)]:
         problems.append(f"late {found}")
+    ledger.receive(
+        CountsMessage("g", "life", 3, 3.0, {1000: {"org": 1}}), 12.0
+    )
+    if len(ledger.take_late()) != 1:
+        problems.append("a count far ahead isn't reported")
     if ledger.take_dirty() or ledger.choose_due([], 12.0):
         problems.append("the fixed window was opened again")
     return problems
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -59,6 +59,10 @@
       | stops, a call is under way       | lets the lease end |
       | stops, long after such a call    | releases the duty  |
 
+  Scenario: A fence is refused
+    When the interface has seen a higher fence than the holder's
+    Then no bound is broken
+
   Scenario: Counts come again, in any order, or not at all
     When counts of gateways are merged in random orders
     Then no bound is broken
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -7,6 +7,8 @@
 # have failed; it sends one a second.
 DRAIN_NOTICE_S: Final = 2.5
 DRAIN_MARGIN_S: Final = 1.0
+# The last counts may be passed on up to this long before the grace ends.
+EXIT_MARGIN_S: Final = 0.4
 HANDOVER_TIMEOUT_S: Final = 1.5
 # Releasing the roles after their state was stored takes at most this long.
 RELEASE_MARGIN_S: Final = 0.7
--- a/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/diagnostics.py
@@ -1,11 +1,15 @@
 """State dump of a gateway."""
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from ..duties.models import is_duty
-from ..usage.coordinator import UsageCoordinator
 from .coordinator import GatewayCoordinator
 
+if TYPE_CHECKING:
+    from ..usage.coordinator import UsageCoordinator
+
 
 class InstanceDump(msgspec.Struct):
     """An instance as seen by this gateway.
@@ -85,7 +89,7 @@
     counts: dict[str, int]
 
 
-def dump_usage(usage: UsageCoordinator) -> UsageDump:
+def dump_usage(usage: "UsageCoordinator") -> UsageDump:
     """Return the state of the usage reports."""
     term = usage.term
     return UsageDump(
--- a/packages/pistachiospar/src/pistachiospar/gateway/duties.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/duties.py
@@ -1,6 +1,7 @@
 """The duties that a gateway competes for, as its settings name them."""
 
 from random import Random
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -14,11 +15,13 @@
 from ..ports.kv import KeyValue
 from ..ports.peer_usage import PeerUsage
 from ..telemetry.metrics import Metrics
-from ..usage.coordinator import UsageCoordinator
 from ..usage.messages import CountsMessage
 from ..usage.messages import CountsReceipt
 from ..usage.recorder import UsageRecorder
 
+if TYPE_CHECKING:
+    from ..usage.coordinator import UsageCoordinator
+
 
 class GatewayDuties:
     """The duties of one gateway; without settings nothing runs.
@@ -40,9 +43,12 @@
         rng: Random,
     ) -> None:
         """Initialize; `own` is the record of this process."""
-        self.usage: UsageCoordinator | None = None
+        self.usage: "UsageCoordinator | None" = None
         if settings and client and DUTY_USAGE in settings.names:
-            self.usage = UsageCoordinator(
+            # Gateways without the duty start sooner without its modules.
+            from ..usage import coordinator
+
+            self.usage = coordinator.UsageCoordinator(
                 own,
                 settings,
                 lease_s,
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -189,7 +189,9 @@
         end_at = started_at + self._settings.grace_s - const.DRAIN_MARGIN_S
         while self._server.active_requests and trio.current_time() < end_at:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
-        await self.coordinator.duties.finish()
+        grace_end_at = started_at + self._settings.grace_s
+        with trio.move_on_at(grace_end_at - const.EXIT_MARGIN_S):
+            await self.coordinator.duties.finish()
         log_event("stopped", cut=self._server.active_requests)
 
 
--- a/packages/pistachiospar/src/pistachiospar/usage/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/usage/coordinator.py
@@ -4,21 +4,16 @@
 isn't durable again, and every step of the holder is stored before it counts.
 """
 
-from collections import deque
 from random import Random
+from typing import TYPE_CHECKING
 
-from result import Err
 import trio
 
 from . import const
-from ..duties.calls import DutyCaller
 from ..duties.const import DUTY_USAGE
-from ..duties.const import REFUSED_DELAY_S
-from ..duties.const import TERM_CHECK_INTERVAL_S
 from ..duties.guard import DutyGuard
 from ..duties.models import DutySettings
 from ..duties.models import make_duty_pool
-from ..duties.terms import DutyTerms
 from ..pool_holders.clock import Clocks
 from ..pool_holders.coordinator import HolderCoordinator
 from ..pool_holders.models import HolderRecord
@@ -26,17 +21,17 @@
 from ..ports.duties import DutyClient
 from ..ports.kv import KeyValue
 from ..ports.peer_usage import PeerUsage
-from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
-from .archive import UsageArchive
 from .clock import SteadyClock
-from .holder import UsageTerm
-from .holder import UsageTools
-from .ledger import LateCount
 from .messages import CountsMessage
 from .messages import CountsReceipt
 from .recorder import UsageRecorder
 
+if TYPE_CHECKING:
+    from .duty import UsageDuty
+    from .holder import UsageTerm
+    from .ledger import LateCount
+
 POOL = make_duty_pool(DUTY_USAGE)
 
 
@@ -64,22 +59,16 @@
         self.clock = SteadyClock(clocks.read_wall_s, clocks.read_boot_s)
         self.recorder = UsageRecorder(settings.window_s, self.clock.read_s)
         self.guard = DutyGuard(lease_s, clocks.read_boot_s)
-        self._terms = DutyTerms(
-            kv, DUTY_USAGE, own.gateway, own.life, self.guard
-        )
-        calls_per_s = settings.calls_per_s / len(set(settings.names))
-        self._tools = UsageTools(
-            UsageArchive(kv, metrics),
-            DutyCaller(DUTY_USAGE, self.guard, calls_per_s, metrics),
-            client,
-            self._list_lives,
-            self.clock.read_s,
-            metrics,
-            rng,
-            deque(maxlen=const.KEPT_LATE_COUNTS),
-        )
+        self._kv = kv
+        self._client = client
+        self._rng = rng
+        self._duty: "UsageDuty | None" = None
         self._metrics = metrics
-        self.term: UsageTerm | None = None
+
+    @property
+    def term(self) -> "UsageTerm | None":
+        """The present term; None unless this gateway has the duty."""
+        return self._duty.term if self._duty else None
 
     async def run(self) -> None:
         """Send counts and compete for the duty until cancelled."""
@@ -99,9 +88,9 @@
         holder = self._holders.holders.get(POOL)
         return holder.gateway if holder else ""
 
-    def list_late(self) -> list[LateCount]:
+    def list_late(self) -> "list[LateCount]":
         """Return the last counts that came too late here."""
-        return list(self._tools.late)
+        return self._duty.list_late() if self._duty else []
 
     def receive(self, message: CountsMessage) -> CountsReceipt | None:
         """Take a gateway's counts; None unless this one has the duty."""
@@ -137,50 +126,19 @@
 
     async def _hold(self, role: Role) -> None:
         """Carry out the duty while this gateway holds it."""
-        while True:
-            fence = role.fence
-            if not role.lost and await self._terms.begin(role, fence):
-                await self._run_term(role, fence)
-            await trio.sleep(TERM_CHECK_INTERVAL_S)
-
-    async def _run_term(self, role: Role, fence: int) -> None:
-        """Carry out the duty under one fence.
-
-        A refused fence is released, so that a holder gets a new one.
-        """
-        stored = await self._tools.archive.load()
-        if isinstance(stored, Err):
-            return
-        term = UsageTerm(
-            role,
-            fence,
-            stored.ok_value,
-            self._settings.window_s,
-            self._settings.report_due_s,
-            self._tools,
-        )
-        self.term = term
-        try:
-            async with trio.open_nursery() as nursery:
-
-                async def run() -> None:
-                    await term.run()
-                    nursery.cancel_scope.cancel()
-
-                nursery.start_soon(run)
-                while role.fence == fence and not role.lost:
-                    if self.guard.is_refused():
-                        log_event("duty_fence_refused", fence=fence)
-                        await self._holders.release(role)
-                        await trio.sleep(REFUSED_DELAY_S)
-                        break
-                    await trio.sleep(TERM_CHECK_INTERVAL_S)
-                nursery.cancel_scope.cancel()
-        finally:
-            self.term = None
-            self.guard.end_term()
-
-    def _list_lives(self) -> list[str]:
-        """Return the processes of all listed gateways."""
-        members = self._holders.list_members().values()
-        return [member.life for member in members]
+        if self._duty is None:
+            # The other gateways start sooner without its modules.
+            from . import duty
+
+            self._duty = duty.UsageDuty(
+                self._own,
+                self._settings,
+                self._kv,
+                self._holders,
+                self.guard,
+                self._client,
+                self.clock.read_s,
+                self._metrics,
+                self._rng,
+            )
+        await self._duty.hold(role)
--- a/packages/pistachiospar/src/pistachiospar/usage/ledger.py
+++ b/packages/pistachiospar/src/pistachiospar/usage/ledger.py
@@ -21,7 +21,9 @@
 
 @dataclass(frozen=True, slots=True)
 class LateCount:
-    """Calls that became known after their window was fixed.
+    """Calls that are in no report, known after their window was fixed.
+
+    Or their window is far ahead, by a gateway's clock that is wrong.
 
     `certain` is False when the counts that the window was fixed with are no
     longer known by process, so that these calls may be among them.
@@ -75,6 +77,11 @@
         last = int((now_s + const.MAX_AHEAD_S) // self.window_s)
         for window, counts in message.counts.items():
             if window > last:
+                # Its clock is wrong; the window may never be fixed.
+                self._late += [
+                    LateCount(window, organisation, count, True)
+                    for organisation, count in counts.items()
+                ]
                 continue
             for organisation, added in self._merge(life, window, counts):
                 if window >= self._closed_below:
