--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Numbers of instances, by upstream and zone."""
