Test that a window is written once and under the present fence

Without the check of the window's key a second write with other bytes won; the random test did not see it, since the fence alone keeps writers apart.

--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -60,6 +60,12 @@
     context.violations = usage_cases.find_merge_violations()
 
 
+@when("a window is written again, and under an older fence")
+def write_again(context: Context) -> None:
+    """Write a window more than once."""
+    context.violations = usage_cases.find_rewrite_violations()
+
+
 @when("a count arrives after its window was fixed")
 def merge_late(context: Context) -> None:
     """Merge a late count."""
--- a/features/support/usage_cases.py
+++ b/features/support/usage_cases.py
@@ -6,10 +6,18 @@
 from hypothesis import seed
 from hypothesis import settings
 from hypothesis import strategies
+from pistachiospar.pool_holders.models import Role
+from pistachiospar.telemetry.metrics import Metrics
+from pistachiospar.usage.archive import UsageArchive
+from pistachiospar.usage.archive import UsageWrite
 from pistachiospar.usage.clock import SteadyClock
 from pistachiospar.usage.ledger import UsageLedger
 from pistachiospar.usage.messages import CountsMessage
 from pistachiospar.usage.recorder import UsageRecorder
+from pistachiospar_standins.fakes.entry_fleet import run_virtual
+from pistachiospar_standins.fakes.kv import KvFaultSet
+from pistachiospar_standins.fakes.kv import PolledFakeKeyValue
+from pistachiospar_standins.kv.store import Store
 
 WINDOW_S = 5.0
 DUE_S = 10.0
@@ -88,6 +96,31 @@
     return []
 
 
+def find_rewrite_violations() -> list[str]:
+    """Write a window twice, then another one under an older fence."""
+
+    async def work() -> list[str]:
+        store = Store()
+        archive = UsageArchive(
+            PolledFakeKeyValue(store, KvFaultSet()), Metrics()
+        )
+        role = Role("duty/usage", "holder", 0, 0, 100.0)
+        store.write(role.key, b"", 0, 0.0)
+        fence = store.revision
+        writes = [(fence, 5, b"a"), (fence, 5, b"b"), (fence - 1, 6, b"c")]
+        won = [
+            await archive.write(
+                role, number, UsageWrite({}, {window: body}, None, ())
+            )
+            for number, window, body in writes
+        ]
+        stored = (await archive.load()).unwrap().reports
+        problems = [] if won == ["", None, None] else [f"results {won}"]
+        return problems if stored == {5: b"a"} else [f"stored {stored}"]
+
+    return run_virtual(work)
+
+
 def find_late_violations() -> list[str]:
     """Fix a window, then receive further and repeated counts of it."""
     ledger = make_ledger()
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -67,6 +67,10 @@
     When counts of gateways are merged in random orders
     Then no bound is broken
 
+  Scenario: A window is fixed once, under the present fence
+    When a window is written again, and under an older fence
+    Then no bound is broken
+
   Scenario: A late count is logged and changes nothing
     When a count arrives after its window was fixed
     Then no bound is broken
