--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -48,12 +48,24 @@
     assert not context.reason, context.reason
 
 
+@when("the interface has seen a higher fence than the holder's")
+def refuse_fence(context: Context) -> None:
+    """Let the interface refuse a fence."""
+    context.violations = usage_calls.find_refused_violations()
+
+
 @when("counts of gateways are merged in random orders")
 def merge_counts(context: Context) -> None:
     """Merge counts."""
     context.violations = usage_cases.find_merge_violations()
 
 
+@when("a window is written again, and under an older fence")
+def write_again(context: Context) -> None:
+    """Write a window more than once."""
+    context.violations = usage_cases.find_rewrite_violations()
+
+
 @when("a count arrives after its window was fixed")
 def merge_late(context: Context) -> None:
     """Merge a late count."""
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -48,10 +48,29 @@
       | fence was refused                  | the fence was refused              |
       | new fence after a refused one      | waits for calls of the holder before |
 
+  Scenario Outline: A holder that stops: <case>
+    When a holder of a duty decides on a call: <case>
+    Then its reason is "<reason>"
+
+    Examples:
+      | case                             | reason             |
+      | stops, all calls have a response | releases the duty  |
+      | stops, a call has no response    | lets the lease end |
+      | stops, a call is under way       | lets the lease end |
+      | stops, long after such a call    | releases the duty  |
+
+  Scenario: A fence is refused
+    When the interface has seen a higher fence than the holder's
+    Then no bound is broken
+
   Scenario: Counts come again, in any order, or not at all
     When counts of gateways are merged in random orders
     Then no bound is broken
 
+  Scenario: A window is fixed once, under the present fence
+    When a window is written again, and under an older fence
+    Then no bound is broken
+
   Scenario: A late count is logged and changes nothing
     When a count arrives after its window was fixed
     Then no bound is broken
