Check configurations before they are sent

Cause: a fault in a configuration (a route that never matches, limits that contradict each other, a key held twice) is only noticed once it is in force, and msgspec names the first error alone, without its line.

Change: pistachioctl config check lists all errors with line and column, entries that never match, contradicting limits and the differences from the version in force. A configuration that is nested too deeply is refused instead of raising RecursionError in the watch of the configuration.

--- a/packages/pistachioctl/src/pistachioctl/cli.py
+++ b/packages/pistachioctl/src/pistachioctl/cli.py
@@ -11,6 +11,7 @@
 import trio
 
 from . import bundles
+from . import configurations
 from . import const
 from . import keys
 from . import processes
@@ -87,6 +88,14 @@
     return traces.trace_id(options.id, options.files)
 
 
+async def run_config_check(options: argparse.Namespace) -> Report:
+    """Run `config check`."""
+    options.json = options.json or options.format == "json"
+    return await configurations.check_configuration(
+        options.file, options.against, options.store, options.strict
+    )
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Make the argument parser."""
     parser = argparse.ArgumentParser(
@@ -108,6 +117,7 @@
     )
     commands = parser.add_subparsers(dest="command", required=True)
     _add_bundle_commands(commands)
+    _add_config_commands(commands)
     _add_command(
         commands,
         "history",
@@ -183,6 +193,34 @@
     )
 
 
+def _add_config_commands(commands: argparse._SubParsersAction) -> None:
+    """Add the `config` subcommands."""
+    config = commands.add_parser(
+        "config", help="check configurations before they are sent"
+    ).add_subparsers(required=True)
+    check = _add_command(
+        config,
+        "check",
+        run_config_check,
+        "check a configuration or a bundle; compare it with the one in force",
+    )
+    check.add_argument("file")
+    others = check.add_mutually_exclusive_group()
+    others.add_argument(
+        "--against", metavar="FILE", help="the configuration in force"
+    )
+    others.add_argument(
+        "--store",
+        type=parse_address_argument,
+        metavar="IP:PORT",
+        help="the platform's store, which has the one in force",
+    )
+    check.add_argument("--format", choices=("text", "json"), default="text")
+    check.add_argument(
+        "--strict", action="store_true", help="exit with 1 for warnings"
+    )
+
+
 def _add_command(
     commands: argparse._SubParsersAction,
     name: str,
--- a/packages/pistachioctl/src/pistachioctl/const.py
+++ b/packages/pistachioctl/src/pistachioctl/const.py
@@ -14,7 +14,8 @@
 EPILOG: Final = """\
 exit status:
   0  done
-  1  refused, or another roll won; nothing was changed
+  1  refused, or another roll won; nothing was changed; `config check
+     --strict`: warnings only
   2  bad input; all findings are printed
   3  the platform did not answer: not known whether it took effect
 """
--- a/packages/pistachiospar/src/pistachiospar/bundle/config.py
+++ b/packages/pistachiospar/src/pistachiospar/bundle/config.py
@@ -119,8 +119,8 @@
     upstreams = {upstream.name: upstream for upstream in model.upstreams}
 
     def add(path: str, message: str) -> None:
-        line = document.find_line(path)
-        findings.add(document.file, path, line, message)
+        line, column = document.find_position(path)
+        findings.add(document.file, path, line, message, column)
 
     for kind in ("partners", "callers", "trainers", "upstreams"):
         seen: set[str] = set()
@@ -140,3 +140,30 @@
         elif upstream.kind is not models.UpstreamKind.ENGINE:
             add(path, f"{trainer.upstream!r} is not an engine")
     return findings
+
+
+def find_bundle_warnings(
+    document: Document, bundle: models.Bundle
+) -> Findings:
+    """Find what is valid, but never has an effect or contradicts itself."""
+    findings = Findings()
+
+    def add(path: str, message: str) -> None:
+        line, column = document.find_position(path)
+        findings.add(document.file, path, line, message, column)
+
+    for index, upstream in enumerate(bundle.upstreams):
+        if upstream.default_timeout_ms > upstream.max_timeout_ms:
+            path = f"upstreams.{index}.default_timeout_ms"
+            add(path, "the default timeout is above the maximum")
+        for number, pattern in enumerate(upstream.not_repeatable):
+            if pattern in upstream.not_repeatable[:number]:
+                path = f"upstreams.{index}.not_repeatable.{number}"
+                add(path, "this pattern is listed before")
+    using = {caller.partner for caller in bundle.callers}
+    using |= {trainer.partner for trainer in bundle.trainers}
+    for index, partner in enumerate(bundle.partners):
+        if partner.name not in using:
+            path = f"partners.{index}.name"
+            add(path, "no caller or trainer uses this partner's share")
+    return findings
--- a/packages/pistachiospar/src/pistachiospar/helpers/findings.py
+++ b/packages/pistachiospar/src/pistachiospar/helpers/findings.py
@@ -6,12 +6,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """One error in an input; `path` is the dotted path of the value."""
+    """One error in an input; `path` is the dotted path of the value.
+
+    `line` and `column` count from 1; column 0 isn't known.
+    """
 
     file: str
     path: str
     line: int
     message: str
+    column: int = 0
 
     def __str__(self) -> str:
         """Return `file:line: path: message`."""
@@ -24,9 +28,11 @@
 
     items: list[Finding] = field(default_factory=list)
 
-    def add(self, file: str, path: str, line: int, message: str) -> None:
+    def add(
+        self, file: str, path: str, line: int, message: str, column: int = 0
+    ) -> None:
         """Add one finding."""
-        self.items.append(Finding(file, path, line, message))
+        self.items.append(Finding(file, path, line, message, column))
 
     def __bool__(self) -> bool:
         """Return whether there is any finding."""
--- a/packages/pistachiospar/src/pistachiospar/helpers/jsonc.py
+++ b/packages/pistachiospar/src/pistachiospar/helpers/jsonc.py
@@ -1,7 +1,7 @@
-"""Parser of JSON with comments that knows the line of each value.
+"""Parser of JSON with comments that knows the position of each value.
 
 `json5` parses the text but keeps no positions, so a second scan of the text
-finds the line on which each value begins.
+finds the line and column at which each value begins.
 """
 
 from dataclasses import dataclass
@@ -16,6 +16,7 @@
 from result import Result
 
 from .findings import Findings
+from .json_positions import LineIndex
 
 TOKEN_PATTERN: Final = re.compile(
     r"//[^\n]*|/\*.*?\*/|"
@@ -24,21 +25,23 @@
     re.DOTALL,
 )
 LINE_NUMBER_PATTERN: Final = re.compile(r":(\d+)")
+COLUMN_PATTERN: Final = re.compile(r"at column (\d+)")
+Position = tuple[int, int]
 
 
 @dataclass(frozen=True, slots=True)
 class Document:
-    """A parsed document and the line of each dotted path."""
+    """A parsed document; `positions` has line and column by dotted path."""
 
     file: str
     value: Any
-    lines: dict[str, int]
+    positions: dict[str, Position]
 
-    def find_line(self, path: str) -> int:
-        """Return the line of a path or its nearest known parent, or 1."""
-        while path and path not in self.lines:
+    def find_position(self, path: str) -> Position:
+        """Return line and column of a path or its nearest known parent."""
+        while path and path not in self.positions:
             path = path.rpartition(".")[0]
-        return self.lines.get(path, 1)
+        return self.positions.get(path, (1, 1))
 
 
 @dataclass(slots=True)
@@ -57,23 +60,46 @@
         return f"{self.prefix}.{name}" if self.prefix else name
 
 
-def find_path_lines(text: str) -> dict[str, int]:
-    """Return the line, from 1, on which each dotted path begins."""
-    lines: dict[str, int] = {}
+def find_top_level_names(text: str) -> set[str]:
+    """Return the names of the fields of the outermost object."""
+    names: set[str] = set()
+    depth = 0
+    last = ""
+    for match in TOKEN_PATTERN.finditer(text):
+        token = match.group()
+        if token.startswith(("//", "/*")):
+            continue
+        if token in "{[":
+            depth += 1
+        elif token in "}]":
+            depth -= 1
+        elif token == ":" and depth == 1:
+            names.add(last.strip("\"'"))
+        last = token
+    return names
+
+
+def find_path_positions(text: str) -> dict[str, Position]:
+    """Return line and column, from 1, at which each dotted path begins."""
+    positions: dict[str, Position] = {}
+    index = LineIndex(text)
     containers: list[_Container] = []
     for match in TOKEN_PATTERN.finditer(text):
         token = match.group()
         if token.startswith(("//", "/*")):
             continue
-        line = text.count("\n", 0, match.start()) + 1
-        _scan_token(token, line, containers, lines)
-    return lines
+        position = index.find_position(match.start())
+        _scan_token(token, position, containers, positions)
+    return positions
 
 
 def _scan_token(
-    token: str, line: int, containers: list[_Container], lines: dict[str, int]
+    token: str,
+    position: Position,
+    containers: list[_Container],
+    positions: dict[str, Position],
 ) -> None:
-    """Update the open containers and the lines for one token."""
+    """Update the open containers and the positions for one token."""
     container = containers[-1] if containers else None
     if token in "}]":
         if containers:
@@ -93,10 +119,10 @@
     ):
         container.key = token.strip("\"'")
         container.expects_key = False
-        lines[container.format_path()] = line
+        positions[container.format_path()] = position
         return
     path = container.format_path() if container is not None else ""
-    lines.setdefault(path, line)
+    positions.setdefault(path, position)
     if token in "{[":
         containers.append(_Container(token == "[", path))
 
@@ -109,9 +135,11 @@
         findings = Findings()
         found = LINE_NUMBER_PATTERN.search(str(error))
         line = int(found.group(1)) if found else 1
-        findings.add(file, "", line, f"not valid JSON: {error}")
+        found = COLUMN_PATTERN.search(str(error))
+        column = int(found.group(1)) if found else 1
+        findings.add(file, "", line, f"not valid JSON: {error}", column)
         return Err(findings)
-    return Ok(Document(file, value, find_path_lines(text)))
+    return Ok(Document(file, value, find_path_positions(text)))
 
 
 def read_document(file: str) -> Result[Document, Findings]:
--- a/packages/pistachiospar/src/pistachiospar/helpers/validation.py
+++ b/packages/pistachiospar/src/pistachiospar/helpers/validation.py
@@ -29,6 +29,6 @@
         findings = Findings()
         for detail in error.errors():
             path = ".".join(str(part) for part in detail["loc"])
-            line = document.find_line(path)
-            findings.add(document.file, path, line, detail["msg"])
+            line, column = document.find_position(path)
+            findings.add(document.file, path, line, detail["msg"], column)
         return Err(findings)
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -13,6 +13,7 @@
 from ..routing.models import UpstreamShare
 
 _KINDS_BY_NAME = {kind.value: kind for kind in CallKind}
+_KIND_STREAM = "stream"
 
 
 class SplitMessage(msgspec.Struct):
@@ -91,16 +92,12 @@
     """Decode the configuration; the Err says what is invalid."""
     try:
         message = msgspec.json.decode(value, type=ConfigMessage)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
+        # Lists that are nested too deeply exhaust the decoder.
         return Err(str(error))
-    routes = tuple(_read_route(route) for route in message.routes)
-    upstreams = {s.name: _read_upstream(s) for s in message.services}
-    limits = CallerLimits(
-        message.limits.maxHeaderBytes,
-        message.limits.maxBodyBytes,
-        message.limits.headerTimeoutMs / 1000,
-        message.limits.idleTimeoutMs / 1000,
-    )
+    routes = tuple(read_route(route) for route in message.routes)
+    upstreams = {s.name: read_upstream(s) for s in message.services}
+    limits = read_limits(message.limits)
     return Ok(RouteTable(message.version, routes, upstreams, limits))
 
 
@@ -113,7 +110,22 @@
     return Ok((message.model, message.version))
 
 
-def _read_route(message: RouteMessage) -> Route:
+def is_known_kind(name: str) -> bool:
+    """Return whether the kind of a route is known."""
+    return name in _KINDS_BY_NAME or name == _KIND_STREAM
+
+
+def read_limits(message: LimitsMessage) -> CallerLimits:
+    """Convert the limits on callers, with times in seconds."""
+    return CallerLimits(
+        message.maxHeaderBytes,
+        message.maxBodyBytes,
+        message.headerTimeoutMs / 1000,
+        message.idleTimeoutMs / 1000,
+    )
+
+
+def read_route(message: RouteMessage) -> Route:
     """Convert a route to its data class, with times in seconds."""
     split = message.split or [SplitMessage(message.service, 1.0)]
     # A kind that this version doesn't know must not be repeated.
@@ -129,14 +141,14 @@
         message.priority,
         max(1, message.maxAttempts),
         message.resumable,
-        message.stream or message.kind == "stream",
+        message.stream or message.kind == _KIND_STREAM,
         message.resultDueMs / 1000,
         message.maxAgeS,
         message.singleVersion,
     )
 
 
-def _read_upstream(message: ServiceMessage) -> UpstreamConfig:
+def read_upstream(message: ServiceMessage) -> UpstreamConfig:
     """Convert a service to the configuration of an upstream."""
     models = message.engine.models if message.engine else []
     names = tuple(model.name for model in models)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/routing/const.py
@@ -0,0 +1,14 @@
+"""Constants of the checks of a configuration."""
+
+from typing import Final
+
+# A longer key is refused without looking it up.
+MAX_KEY_CHARACTERS: Final = 512
+# Digits of a key's SHA-256 that reports show; keys are never shown.
+SHOWN_DIGEST_DIGITS: Final = 8
+CALLER_LIMIT_FIELDS: Final = (
+    "max_head_bytes",
+    "max_body_bytes",
+    "read_timeout_s",
+    "idle_timeout_s",
+)
