Test the check of configurations; find places without a scan

Change: a value's place is found by skipping everything beside the way to it; only invalid text is scanned.

--- a/packages/pistachioctl/src/pistachioctl/configurations.py
+++ b/packages/pistachioctl/src/pistachioctl/configurations.py
@@ -1,6 +1,7 @@
 """Check of a configuration before it is sent, and what it would change."""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
@@ -15,6 +16,7 @@
 from pistachiospar.helpers.jsonc import parse_document
 from pistachiospar.platform.config_check import CheckedText
 from pistachiospar.platform.config_check import LocatedFinding
+from pistachiospar.platform.config_check import read_draft
 from pistachiospar.platform.const import KEY_CONFIG
 from pistachiospar.platform.const import PREFIX_INSTANCES
 from pistachiospar.platform.instances import read_instance
@@ -60,8 +62,7 @@
         if self.differences is not None:
             summary += f", {len(self.differences)} differences"
         lines = [self._format_finding(found) for found in self.findings]
-        for difference in self.differences or ():
-            lines.extend(_format_difference(difference))
+        lines.extend(_format_differences(self.differences or ()))
         if self.failure:
             lines.append(self.failure)
         data: dict[str, Any] = {
@@ -85,15 +86,25 @@
         return f"{place}: {severity}: {path}{found.message} [{found.code}]"
 
 
-def _format_difference(difference: Difference) -> list[str]:
-    """Return the lines about one difference."""
-    sign = CHANGE_SIGNS[difference.change]
-    lines = [
-        f"{sign} {difference.subject}: {difference.detail}",
-        f"    {difference.effect}",
-    ]
-    if difference.lasting:
-        lines.append(f"    can't be taken back: {difference.lasting}")
+def _format_differences(differences: Sequence[Difference]) -> list[str]:
+    """Return the lines about differences.
+
+    Those in a row that mean the same are explained once, after the last.
+    """
+    lines = []
+    for index, difference in enumerate(differences):
+        sign = CHANGE_SIGNS[difference.change]
+        lines.append(f"{sign} {difference.subject}: {difference.detail}")
+        following = differences[index + 1 : index + 2]
+        meaning = (difference.effect, difference.lasting)
+        if following and meaning == (
+            following[0].effect,
+            following[0].lasting,
+        ):
+            continue
+        lines.append(f"    {difference.effect}")
+        if difference.lasting:
+            lines.append(f"    can't be taken back: {difference.lasting}")
     return lines
 
 
@@ -153,7 +164,7 @@
     read = _read_file(file)
     if isinstance(read, Err):
         return read
-    draft = CheckedText(read.ok_value).draft
+    draft = read_draft(read.ok_value)
     if draft is None:
         return Err(f"{file}: not a readable configuration; check it first")
     return Ok(draft)
@@ -185,7 +196,7 @@
             checked.add(found)
     if item.ok_value is None:
         return Ok(None)
-    draft = CheckedText(item.ok_value.value).draft
+    draft = read_draft(item.ok_value.value)
     if draft is None:
         return Err(f"store {store}: the configuration there is unreadable")
     return Ok(draft)
--- a/packages/pistachiospar/src/pistachiospar/helpers/json_positions.py
+++ b/packages/pistachiospar/src/pistachiospar/helpers/json_positions.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
+from math import isfinite
 import re
 from typing import Final
 
@@ -28,6 +29,7 @@
 )
 # Lists nested deeper are no configuration, and exhaust recursive decoders.
 MAX_DEPTH: Final = 64
+MAX_INTEGER_DIGITS: Final = 4300
 # After this many syntax errors the text is hardly JSON.
 MAX_SYNTAX_ERRORS: Final = 50
 
@@ -85,25 +87,28 @@
     expected: str
     key: str = ""
     count: int = 0
-    after_comma: bool = False
+    comma_offset: int | None = None
 
 
 class JsonScanner:
     """One scan of one text."""
 
     def __init__(self, text: str) -> None:
-        """Start at the beginning of a text."""
+        """Start at the beginning of a text.
+
+        After an error that leaves no way to go on, the scan is lost.
+        """
         self._text = text
         self._scan = JsonScan()
         self._open: list[_Container] = []
-        self._too_deep = False
+        self._is_lost = False
 
     def run(self) -> JsonScan:
         """Scan the whole text."""
         scan = self._scan
         for match in TOKEN_PATTERN.finditer(self._text):
             self._take_token(match.group(), match.start())
-            if self._too_deep or len(scan.errors) >= MAX_SYNTAX_ERRORS:
+            if self._is_lost or len(scan.errors) >= MAX_SYNTAX_ERRORS:
                 return scan
         for container in self._open:
             closing = "]" if container.is_array else "}"
@@ -123,6 +128,7 @@
         elif container is None:
             if () in self._scan.offsets:
                 self._add_error(offset, "more text after the end of the value")
+                self._is_lost = True
                 return
             self._take_value(token, offset, ())
         elif container.expected == "name":
@@ -142,7 +148,7 @@
         if token == ":":
             container.expected = "value"
             return
-        container.after_comma = container.expected == "comma"
+        container.comma_offset = offset
         container.expected = "value" if container.is_array else "name"
 
     def _take_name(
@@ -158,7 +164,7 @@
         self._check_scalar(token, offset, is_name=True)
         container.key = token.strip('"')
         container.expected = "colon"
-        container.after_comma = False
+        container.comma_offset = None
         path = (*container.path, container.key)
         if path in self._scan.offsets:
             self._scan.duplicates.append((path, offset))
@@ -176,7 +182,7 @@
         elif container.expected == "colon":
             self._add_error(offset, "no ':' before this value")
         container.expected = "comma"
-        container.after_comma = False
+        container.comma_offset = None
         name = container.count if container.is_array else container.key
         container.count += 1
         self._take_value(token, offset, (*container.path, name))
@@ -192,7 +198,7 @@
         else:
             self._check_scalar(token, offset)
         if len(self._open) > MAX_DEPTH:
-            self._too_deep = True
+            self._is_lost = True
             self._add_error(offset, f"nested deeper than {MAX_DEPTH} levels")
 
     def _check_scalar(
@@ -205,8 +211,12 @@
                 return
             if not STRING_PATTERN.fullmatch(token):
                 self._add_error(offset, "this string isn't valid")
+                # What follows a string without end isn't known.
+                self._is_lost = len(token) < 2 or token[-1] != '"'
         elif not is_name and not SCALAR_PATTERN.fullmatch(token):
             self._add_error(offset, "neither a number nor a known word")
+        elif not is_name and not _is_in_range(token):
+            self._add_error(offset, "this number is out of range")
 
     def _close(self, token: str, offset: int) -> None:
         """Close the container that a bracket belongs to."""
@@ -214,8 +224,8 @@
             self._add_error(offset, f"unexpected {token!r}")
             return
         container = self._open.pop()
-        if container.after_comma:
-            self._add_error(offset, "a ',' before the end")
+        if container.comma_offset is not None:
+            self._add_error(container.comma_offset, "a ',' before the end")
         elif container.expected in ("colon", "value") and container.key:
             self._add_error(offset, f"field {container.key!r} has no value")
 
@@ -224,6 +234,13 @@
         self._scan.errors.append(TextError(offset, message))
 
 
+def _is_in_range(token: str) -> bool:
+    """Return whether decoders accept a valid number or word."""
+    if token.lstrip("-").isdigit():
+        return len(token) <= MAX_INTEGER_DIGITS
+    return token.isalpha() or isfinite(float(token))
+
+
 def may_repeat_fields(text: str) -> bool:
     """Return whether an object of valid JSON may have a field twice.
 
--- a/packages/pistachiospar/src/pistachiospar/platform/config_check.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/config_check.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 from difflib import get_close_matches
-from functools import cached_property
 import re
 from typing import Any
 from typing import Final
@@ -10,7 +9,7 @@
 import msgspec
 from result import Err
 
-from ..helpers.json_positions import JsonScan
+from ..helpers.json_offsets import JsonOffsets
 from ..helpers.json_positions import LineIndex
 from ..helpers.json_positions import may_repeat_fields
 from ..helpers.json_positions import Path
@@ -62,14 +61,17 @@
         self.draft: ConfigDraft | None = None
         self._text = value.decode(errors="surrogateescape")
         self._lines = LineIndex(self._text)
+        self._offsets = JsonOffsets(self._text)
         if self._find_encoding_error(value):
             return
+        self._is_json = False
         try:
             raw = msgspec.json.decode(value)
         except (msgspec.MsgspecError, RecursionError) as error:
             if not self._find_syntax_errors():
                 self._add_reader_error(str(error))
         else:
+            self._is_json = True
             if may_repeat_fields(self._text):
                 self._find_syntax_errors()
             self._check_values(value, raw)
@@ -83,7 +85,7 @@
     def add(self, finding: ConfigFinding) -> None:
         """Add a finding of the checks on data classes."""
         path = translate_place(finding.place)
-        if "split" in path and path[:3] not in self._scan.offsets:
+        if "split" in path and not self._offsets.has_path(path[:3]):
             # Without shares, a route has one, of its own field.
             path = (*path[:2], "service")
         message = f"{finding.subject}: {finding.message}"
@@ -101,18 +103,14 @@
 
     def _find_syntax_errors(self) -> bool:
         """Add the syntax errors; return whether there are any."""
-        for error in self._scan.errors:
+        scan = scan_json(self._text)
+        for error in scan.errors:
             self._add_at(error.offset, "syntax", (), error.message)
-        for path, offset in self._scan.duplicates:
+        for path, offset in scan.duplicates:
             name = self._name_field(path)
             message = f"{name} is set twice; the last one counts"
             self._add_at(offset, "duplicate-field", path[:-1], message)
-        return bool(self._scan.errors)
-
-    @cached_property
-    def _scan(self) -> JsonScan:
-        """The positions in the text; only made when they are needed."""
-        return scan_json(self._text)
+        return bool(scan.errors)
 
     def _check_values(self, value: bytes, raw: Any) -> None:
         """Check types, then what the values mean."""
@@ -136,7 +134,7 @@
             close = get_close_matches(str(path[-1]), names, 1)
             if close:
                 message += f"; did you mean {close[0]!r}?"
-            offset = self._scan.find_offset(path)
+            offset = self._offsets.find_offset(path)
             self._add_at(
                 offset, "unknown-field", path[:-1], message, Severity.WARNING
             )
@@ -150,6 +148,9 @@
             offset = len(encoded.decode(errors="ignore"))
             self._add_at(offset, "unreadable", (), message)
             return
+        if not self._is_json:
+            self._add_at(0, "unreadable", (), message)
+            return
         parts = _PART_PATTERN.findall(found.group(1)) if found else []
         path = tuple(int(p) if p.isdigit() else p for p in parts)
         self._add(Severity.ERROR, "unreadable", path, message)
@@ -167,7 +168,7 @@
         self, severity: Severity, code: str, path: Path, message: str
     ) -> None:
         """Add a finding at a path."""
-        offset = self._scan.find_offset(path)
+        offset = self._offsets.find_offset(path)
         self._add_at(offset, code, path, message, severity)
 
     def _add_at(
@@ -186,12 +187,20 @@
         )
 
 
+def read_draft(value: bytes) -> ConfigDraft | None:
+    """Return the draft of a configuration that gateways accept."""
+    try:
+        return make_draft(msgspec.json.decode(value, type=ConfigDraftMessage))
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+
+
 def _is_consequence(finding: ConfigFinding, errors: StructErrors) -> bool:
     """Return whether an error of type may be the cause of a finding."""
     place = translate_place(finding.place)
     for path, _ in errors.errors:
         if place[:2] == path[:2] or len(path) < 2 and path == place[:1]:
             return True
-        if finding.code in _CODES_BY_PART.get(str(path[:1][0]), ()):
+        if not path or finding.code in _CODES_BY_PART.get(str(path[0]), ()):
             return True
     return False
--- a/packages/pistachiospar/src/pistachiospar/routing/checks.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/checks.py
@@ -193,9 +193,16 @@
     # Items of a rollout are bounded by their age instead of the timeout.
     if route.kind is CallKind.ROLLOUT or not route.is_repeatable:
         return
-    needed_s = attempts * route.target_latency_s
     has_time_for_one = 0 < route.target_latency_s <= route.timeout_s
-    if attempts > 1 and has_time_for_one and needed_s > route.timeout_s:
+    # Divided, since an integer may be too large to multiply with a float.
+    if (
+        attempts > 1
+        and has_time_for_one
+        and (
+            attempts
+            > const.ROUNDING * route.timeout_s / route.target_latency_s
+        )
+    ):
         yield _find_in_route(
             WARNING,
             "attempts-beyond-timeout",
@@ -370,9 +377,12 @@
                 message,
             )
 
-        if not organisation.name:
-            message = "an organisation needs a name"
-            yield find(ERROR, "no-name", ("name",), message)
+        if not const.ORGANISATION_NAME_PATTERN.fullmatch(organisation.name):
+            message = (
+                "the name isn't 1 to 256 printable ASCII characters without "
+                "spaces at the ends"
+            )
+            yield find(ERROR, "organisation-name", ("name",), message)
         elif organisation.name in names:
             message = "entries of the same name are one organisation"
             yield find(WARNING, "duplicate-organisation", ("name",), message)
--- a/packages/pistachiospar/src/pistachiospar/routing/const.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/const.py
@@ -1,11 +1,16 @@
 """Constants of the checks of a configuration."""
 
+import re
 from typing import Final
 
 # A longer key is refused without looking it up.
 MAX_KEY_CHARACTERS: Final = 512
 # Digits of a key's SHA-256 that reports show; keys are never shown.
 SHOWN_DIGEST_DIGITS: Final = 8
+# A name is sent to samplers in a header.
+ORGANISATION_NAME_PATTERN: Final = re.compile(r"[!-~]([ -~]{0,254}[!-~])?")
+# Times that are equal in milliseconds may differ in seconds by rounding.
+ROUNDING: Final = 1 + 1e-9
 CALLER_LIMIT_FIELDS: Final = (
     "max_head_bytes",
     "max_body_bytes",
