--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -75,6 +75,8 @@
       | a key of two organisations   | shared-key             | tenants.1.apiKeys.0     | 14   | 2      | 2      |
       | a key listed twice           | repeated-key           | tenants.0.apiKeys.1     | 13   | 0      | 1      |
       | a key that is too long       | unusable-key           | tenants.0.apiKeys.0     | 13   | 0      | 1      |
+      | an empty key                 | unusable-key           | tenants.0.apiKeys.1     | 13   | 0      | 1      |
+      | a digest that is not base64  | unreadable             | tenants.0.keyDigests    | 13   | 2      | 2      |
       | a key with a space           | unusable-key           | tenants.0.apiKeys.0     | 13   | 0      | 1      |
 
   Scenario: weights that add up to 0
--- a/features/support/config_cases.py
+++ b/features/support/config_cases.py
@@ -10,8 +10,7 @@
 from pistachioctl.output import Report
 from pistachiospar.platform.config_check import CheckedText
 from pistachiospar.platform.manifest import read_table
-from pistachiospar.routing.checks import check_draft
-from pistachiospar.routing.checks import make_draft
+from pistachiospar.routing.checks import check_table
 from pistachiospar.routing.differences import compare_drafts
 from result import Ok
 import trio
@@ -95,6 +94,8 @@
     "a key of two organisations": (SOUTH, NORTH),
     "a key listed twice": (NORTH, NORTH.replace("]", ', "key-of-north"]')),
     "a key that is too long": ('"key-of-north"', '"' + "key-of-" * 80 + '"'),
+    "an empty key": ('["key-of-north"]', '["key-of-north", ""]'),
+    "a digest that is not base64": (NORTH, NORTH + ', "keyDigests": ["x"]'),
     "a key with a space": ('"key-of-north"', '"key-of- north"'),
 }
 SEVERAL_FAULTS = (
@@ -215,7 +216,7 @@
     if not checked.has_errors and (checked.draft is None or table.is_err()):
         violations.append(f"called clean: {table}: {text}")
     if isinstance(table, Ok):
-        check_draft(make_draft(table.ok_value))
+        check_table(table.ok_value)
     if checked.draft is not None:
         base = CheckedText(BASE.encode()).draft
         assert base is not None
--- a/packages/pistachiospar/src/pistachiospar/directory/config_warnings.py
+++ b/packages/pistachiospar/src/pistachiospar/directory/config_warnings.py
@@ -3,8 +3,7 @@
 from typing import Final
 
 from ..routing.check_models import ConfigFinding
-from ..routing.checks import check_draft
-from ..routing.checks import make_draft
+from ..routing.checks import check_table
 from ..routing.models import RouteTable
 from ..telemetry.logs import log_event
 
@@ -25,8 +24,7 @@
     def log_findings(self, table: RouteTable) -> None:
         """Log up to `MAX_LOGGED_FINDINGS` findings that are new."""
         by_text = {
-            (f.code, f.subject, f.message): f
-            for f in check_draft(make_draft(table))
+            (f.code, f.subject, f.message): f for f in check_table(table)
         }
         new = [f for text, f in by_text.items() if text not in self._known]
         self._known = set(by_text)
--- a/packages/pistachiospar/src/pistachiospar/platform/config_check.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/config_check.py
@@ -118,14 +118,13 @@
         for path, message in errors.errors:
             self._add(Severity.ERROR, "type", path, message)
         self._add_unknown_fields(errors)
-        if not errors.errors:
-            table = read_table(value)
-            if isinstance(table, Err):
-                self._add_reader_error(table.err_value)
         self.draft = make_draft(msgspec.convert(repaired, ConfigDraftMessage))
         for finding in check_draft(self.draft):
             if not _is_consequence(finding, errors):
                 self.add(finding)
+        table = read_table(value)
+        if isinstance(table, Err) and not self.has_errors:
+            self._add_reader_error(table.err_value)
 
     def _add_unknown_fields(self, errors: StructErrors) -> None:
         """Warn of fields that no reader knows."""
--- a/packages/pistachiospar/src/pistachiospar/platform/config_draft.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/config_draft.py
@@ -3,11 +3,14 @@
 Messages of fields that the gateway doesn't read yet are defined here.
 """
 
-from hashlib import sha256
+from base64 import b64decode
+import binascii
+from contextlib import suppress
 
 import msgspec
 
 from ..helpers.json_positions import Path
+from ..organisations.keys import compute_digest
 from ..routing.check_models import ConfigDraft
 from ..routing.check_models import InstanceRange
 from ..routing.check_models import KeyDraft
@@ -22,6 +25,7 @@
 from .manifest import read_upstream
 from .manifest import RouteMessage
 from .manifest import ServiceMessage
+from .organisations import TenantMessage
 
 
 class ScaleMessage(msgspec.Struct):
@@ -38,25 +42,11 @@
     scale: ScaleMessage | None = None
 
 
-class RouteDraftMessage(RouteMessage):
-    """A route; a `public` one needs no key."""
-
-    public: bool = False
-
-
-class TenantMessage(msgspec.Struct):
-    """An organisation; priority 0 is the most urgent."""
-
-    name: str
-    apiKeys: list[str] = []
-    priority: int | None = None
-
-
 class ConfigDraftMessage(msgspec.Struct):
     """The complete configuration."""
 
     version: int
-    routes: list[RouteDraftMessage]
+    routes: list[RouteMessage]
     services: list[ServiceDraftMessage]
     limits: LimitsMessage
     tenants: list[TenantMessage] | None = None
@@ -79,7 +69,6 @@
     "result_due_s": "resultDueMs",
     "max_age_s": "maxAgeS",
     "single_version": "singleVersion",
-    "is_public": "public",
     "max_connections": "maxConns",
     "models": "engine",
     "max_head_bytes": "maxHeaderBytes",
@@ -109,12 +98,11 @@
     )
 
 
-def _make_route(message: RouteDraftMessage) -> RouteDraft:
+def _make_route(message: RouteMessage) -> RouteDraft:
     """Convert a route."""
     return RouteDraft(
         read_route(message),
         message.maxAttempts,
-        message.public,
         message.service if message.split else "",
         "" if is_known_kind(message.kind) else message.kind,
     )
@@ -131,12 +119,17 @@
 
 def _make_organisation(message: TenantMessage) -> OrganisationDraft:
     """Convert an organisation; its keys become digests."""
-    keys = tuple(_make_key(key) for key in message.apiKeys)
-    return OrganisationDraft(message.name, keys, message.priority)
+    keys = [_make_key(key) for key in message.apiKeys]
+    for encoded in message.keyDigests:
+        # The reader refuses what isn't base64.
+        with suppress(binascii.Error):
+            digest = b64decode(encoded, validate=True).hex()
+            keys.append(KeyDraft(digest, 1, True))
+    return OrganisationDraft(message.name, tuple(keys), message.priority)
 
 
 def _make_key(key: str) -> KeyDraft:
     """Return what may be known of a key."""
-    digest = sha256(key.encode()).hexdigest()
+    digest = compute_digest(key.encode()).hex()
     is_visible = key.isascii() and key.isprintable() and " " not in key
     return KeyDraft(digest, len(key), is_visible)
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -11,6 +11,8 @@
 from ..routing.models import RouteTable
 from ..routing.models import UpstreamConfig
 from ..routing.models import UpstreamShare
+from .organisations import read_organisations
+from .organisations import TenantMessage
 
 _KINDS_BY_NAME = {kind.value: kind for kind in CallKind}
 _KIND_STREAM = "stream"
@@ -41,6 +43,7 @@
     resultDueMs: float = 0
     maxAgeS: float = 0
     singleVersion: bool = False
+    public: bool = False
 
 
 class ModelMessage(msgspec.Struct):
@@ -79,6 +82,7 @@
     routes: list[RouteMessage]
     services: list[ServiceMessage]
     limits: LimitsMessage
+    tenants: list[TenantMessage] | None = None
 
 
 class NamedVersionMessage(msgspec.Struct):
@@ -92,13 +96,16 @@
     """Decode the configuration; the Err says what is invalid."""
     try:
         message = msgspec.json.decode(value, type=ConfigMessage)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        organisations = read_organisations(message.tenants or [])
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         # Lists that are nested too deeply exhaust the decoder.
         return Err(str(error))
     routes = tuple(read_route(route) for route in message.routes)
     upstreams = {s.name: read_upstream(s) for s in message.services}
     limits = read_limits(message.limits)
-    return Ok(RouteTable(message.version, routes, upstreams, limits))
+    return Ok(
+        RouteTable(message.version, routes, upstreams, limits, organisations)
+    )
 
 
 def read_named_version(value: bytes) -> Result[tuple[str, int], str]:
@@ -145,6 +152,7 @@
         message.resultDueMs / 1000,
         message.maxAgeS,
         message.singleVersion,
+        message.public,
     )
 
 
--- a/packages/pistachiospar/src/pistachiospar/routing/check_models.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/check_models.py
@@ -52,7 +52,6 @@
 
     route: Route
     max_attempts: int
-    is_public: bool = False
     ignored_upstream: str = ""
     unknown_kind: str = ""
 
--- a/packages/pistachiospar/src/pistachiospar/routing/checks.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/checks.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 
 from . import const
+from ..organisations.const import MAX_KEY_CHARACTERS
+from ..organisations.models import OrganisationTable
 from .check_models import ConfigDraft
 from .check_models import ConfigFinding
 from .check_models import OrganisationDraft
@@ -34,6 +36,14 @@
     )
 
 
+def check_table(table: RouteTable) -> list[ConfigFinding]:
+    """Return the findings in a table in force, which has no keys."""
+    findings = check_draft(make_draft(table))
+    if table.organisations is not None:
+        findings.extend(_check_organisation_table(table.organisations))
+    return findings
+
+
 def check_draft(draft: ConfigDraft) -> list[ConfigFinding]:
     """Return all findings in a configuration."""
     findings: list[ConfigFinding] = []
@@ -358,6 +368,22 @@
         )
 
 
+def _check_organisation_table(
+    organisations: OrganisationTable,
+) -> Iterator[ConfigFinding]:
+    """Find organisations without a key of their own."""
+    held = {o.name for o in organisations.by_digest.values()}
+    for index, name in enumerate(organisations.by_name):
+        if name not in held:
+            yield ConfigFinding(
+                WARNING,
+                "no-key",
+                f"organisation {name!r}",
+                ("organisations", index),
+                "it has no key, or only such that others have, too",
+            )
+
+
 def _check_organisations(
     organisations: tuple[OrganisationDraft, ...],
 ) -> Iterator[ConfigFinding]:
@@ -397,7 +423,11 @@
         for number, key in enumerate(organisation.keys):
             label = f"key {key.digest[: const.SHOWN_DIGEST_DIGITS]}"
             place: Place = ("keys", number)
-            if not 0 < key.length <= const.MAX_KEY_CHARACTERS:
+            if not key.length:
+                message = "an empty key is ignored"
+                yield find(WARNING, "unusable-key", place, message)
+                continue
+            if key.length > MAX_KEY_CHARACTERS:
                 message = f"{label} is never accepted: {key.length} characters"
                 yield find(WARNING, "unusable-key", place, message)
             elif not key.is_visible_ascii:
--- a/packages/pistachiospar/src/pistachiospar/routing/const.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/const.py
@@ -3,8 +3,6 @@
 import re
 from typing import Final
 
-# A longer key is refused without looking it up.
-MAX_KEY_CHARACTERS: Final = 512
 # Digits of a key's SHA-256 that reports show; keys are never shown.
 SHOWN_DIGEST_DIGITS: Final = 8
 # A name is sent to samplers in a header.
--- a/packages/pistachiospar/src/pistachiospar/routing/differences.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/differences.py
@@ -44,6 +44,7 @@
     "prefix": "calls to the former prefix get 404 or another route",
     "kind": "decides whether attempts that start from now on are repeated",
     "shares": "new calls are spread anew; calls under way stay where they run",
+    "public": "decides whether new calls need a key; calls under way go on",
     "priority": LATER_ITEMS,
     "max_attempts": LATER_ITEMS,
     "single_version": LATER_ITEMS,
@@ -183,34 +184,20 @@
     subject: str, before: RouteDraft, after: RouteDraft
 ) -> Iterator[Difference]:
     """Return one difference for each changed field of a route."""
-    if before.is_public != after.is_public:
-        effect = "calls under way go on; new ones without a key get 401"
-        if after.is_public:
-            effect = "new calls need no key and belong to no organisation"
-        yield Difference(
-            "changed",
-            subject,
-            f"public {before.is_public} -> {after.is_public}",
-            effect,
-            UNCOUNTED if after.is_public else "",
-        )
     old, new = before.route, after.route
     for name in _list_changed(old, new):
-        if name in ("name", "public"):
-            continue
         becomes_repeatable = new.is_repeatable and not old.is_repeatable
         detail = (
             f"{name} {_format(getattr(old, name))} -> "
             f"{_format(getattr(new, name))}"
         )
-        decides = name in ("kind", "resumable", "stream")
-        yield Difference(
-            "changed",
-            subject,
-            detail,
-            ROUTE_EFFECTS.get(name, KEEPS),
-            RAN_TWICE if decides and becomes_repeatable else "",
-        )
+        lasting = ""
+        if name == "public" and new.public:
+            lasting = UNCOUNTED
+        elif name in ("kind", "resumable", "stream") and becomes_repeatable:
+            lasting = RAN_TWICE
+        effect = ROUTE_EFFECTS.get(name, KEEPS)
+        yield Difference("changed", subject, detail, effect, lasting)
 
 
 def _compare_upstreams(
