--- a/features/steps/config_check_steps.py
+++ b/features/steps/config_check_steps.py
@@ -1,5 +1,6 @@
 """Step definitions for the check of configurations."""
 
+from random import Random
 import time
 from typing import Any
 
@@ -10,9 +11,13 @@
 import eliot
 from pistachioctl.output import Report
 from pistachiospar.adapters.http.server import HttpServer
-from pistachiospar.directory.config_warnings import ConfigWarnings
+from pistachiospar.directory.coordinator import Directory
 from pistachiospar.platform.const import KEY_CONFIG
-from pistachiospar.platform.manifest import read_table
+from pistachiospar.platform.directory import PLATFORM_KEYS
+from pistachiospar.telemetry.metrics import Metrics
+from pistachiospar_standins.fakes.kv import FakeKeyValue
+from pistachiospar_standins.fakes.kv import KvFaultSet
+from pistachiospar_standins.kv.store import Store
 from pistachiospar_standins.platform.store import PlatformStoreHandler
 from support import config_cases
 from support.kv_contract import serve_loopback
@@ -212,26 +217,37 @@
 def log_unused(context: Context, count: int) -> None:
     """Log the findings of a version, and of one that has one more."""
     names = [f'{{"name": "s{number}"}}, ' for number in range(count)]
-    context.lines = []
+    more = "".join(names)
+    first = config_cases.BASE.replace(
+        '{"name": "app"', more + '{"name": "app"'
+    )
+    second = first.replace(
+        '{"name": "app"', '{"name": "late"}, {"name": "app"'
+    )
+    second = second.replace('"version": 3', '"version": 4')
     context.count = count
-    warnings = ConfigWarnings()
-    for size in (count, count + 1):
-        more = "".join(names) + ('{"name": "late"}, ' if size > count else "")
-        text = config_cases.BASE.replace(
-            '{"name": "app"', more + '{"name": "app"'
+    context.lines = _log_findings([first, second])
+
+
+def _log_findings(texts: list[str]) -> list[list[dict[str, Any]]]:
+    """Return the lines about findings that each version causes."""
+    store = Store()
+    kv = FakeKeyValue(store, KvFaultSet())
+    directory = Directory(kv, kv, PLATFORM_KEYS, Metrics(), Random(0))
+    found = []
+    for text in texts:
+        lines: list[dict[str, Any]] = []
+        store.write(KEY_CONFIG, text.encode(), 0, 0.0)
+        eliot.add_destinations(lines.append)
+        try:
+            assert trio.run(directory.configuration_mirror.list_once)
+        finally:
+            eliot.remove_destination(lines.append)
+        assert f'"version": {directory.table.version}' in text
+        found.append(
+            [x for x in lines if "configuration_f" in x["message_type"]]
         )
-        context.lines.append(_log_findings(warnings, text))
-
-
-def _log_findings(warnings: ConfigWarnings, text: str) -> list[dict[str, Any]]:
-    """Return the lines that a version causes."""
-    lines: list[dict[str, Any]] = []
-    eliot.add_destinations(lines.append)
-    try:
-        warnings.log_findings(read_table(text.encode()).unwrap())
-    finally:
-        eliot.remove_destination(lines.append)
-    return lines
+    return found
 
 
 @then("{count:d} findings and the number left out are logged")
