--- a/packages/pistachiospar/src/pistachiospar/routing/checks.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/checks.py
@@ -8,11 +8,8 @@
 from collections.abc import Mapping
 
 from . import const
-from ..organisations.const import MAX_KEY_CHARACTERS
-from ..organisations.models import OrganisationTable
 from .check_models import ConfigDraft
 from .check_models import ConfigFinding
-from .check_models import OrganisationDraft
 from .check_models import Place
 from .check_models import RouteDraft
 from .check_models import Severity
@@ -21,6 +18,8 @@
 from .models import CallKind
 from .models import Route
 from .models import RouteTable
+from .organisation_checks import check_organisation_table
+from .organisation_checks import check_organisations
 
 ERROR = Severity.ERROR
 WARNING = Severity.WARNING
@@ -40,7 +39,7 @@
     """Return the findings in a table in force, which has no keys."""
     findings = check_draft(make_draft(table))
     if table.organisations is not None:
-        findings.extend(_check_organisation_table(table.organisations))
+        findings.extend(check_organisation_table(table.organisations))
     return findings
 
 
@@ -59,7 +58,7 @@
     if draft.limits is not None:
         findings.extend(_check_limits(draft.limits))
     if draft.organisations is not None:
-        findings.extend(_check_organisations(draft.organisations))
+        findings.extend(check_organisations(draft.organisations))
     return findings
 
 
@@ -366,81 +365,3 @@
             f"the idle timeout of {limits.idle_timeout_s:g} s is below the "
             f"header timeout of {limits.read_timeout_s:g} s",
         )
-
-
-def _check_organisation_table(
-    organisations: OrganisationTable,
-) -> Iterator[ConfigFinding]:
-    """Find organisations without a key of their own."""
-    held = {o.name for o in organisations.by_digest.values()}
-    for index, name in enumerate(organisations.by_name):
-        if name not in held:
-            yield ConfigFinding(
-                WARNING,
-                "no-key",
-                f"organisation {name!r}",
-                ("organisations", index),
-                "it has no key, or only such that others have, too",
-            )
-
-
-def _check_organisations(
-    organisations: tuple[OrganisationDraft, ...],
-) -> Iterator[ConfigFinding]:
-    """Check the organisations' names, priorities and keys."""
-    names: set[str] = set()
-    holders: dict[str, str] = {}
-    for index, organisation in enumerate(organisations):
-
-        def find(
-            severity: Severity, code: str, place: Place, message: str
-        ) -> ConfigFinding:
-            return ConfigFinding(
-                severity,
-                code,
-                f"organisation {organisation.name!r}",
-                ("organisations", index, *place),
-                message,
-            )
-
-        if not const.ORGANISATION_NAME_PATTERN.fullmatch(organisation.name):
-            message = (
-                "the name isn't 1 to 256 printable ASCII characters without "
-                "spaces at the ends"
-            )
-            yield find(ERROR, "organisation-name", ("name",), message)
-        elif organisation.name in names:
-            message = "entries of the same name are one organisation"
-            yield find(WARNING, "duplicate-organisation", ("name",), message)
-        names.add(organisation.name)
-        if organisation.priority is not None and organisation.priority < 0:
-            message = "the priority is below 0, the most urgent one"
-            yield find(WARNING, "negative", ("priority",), message)
-        if not organisation.keys:
-            message = "without a key it can't make calls"
-            yield find(WARNING, "no-key", ("keys",), message)
-        own: set[str] = set()
-        for number, key in enumerate(organisation.keys):
-            label = f"key {key.digest[: const.SHOWN_DIGEST_DIGITS]}"
-            place: Place = ("keys", number)
-            if not key.length:
-                message = "an empty key is ignored"
-                yield find(WARNING, "unusable-key", place, message)
-                continue
-            if key.length > MAX_KEY_CHARACTERS:
-                message = f"{label} is never accepted: {key.length} characters"
-                yield find(WARNING, "unusable-key", place, message)
-            elif not key.is_visible_ascii:
-                message = f"{label} can't be sent in a header"
-                yield find(WARNING, "unusable-key", place, message)
-            holder = holders.setdefault(key.digest, organisation.name)
-            if holder != organisation.name:
-                message = (
-                    f"{label} is held by organisation {holder!r}, too: "
-                    "it belongs to none"
-                )
-                yield find(ERROR, "shared-key", place, message)
-            elif key.digest in own:
-                message = f"{label} is listed twice"
-                yield find(WARNING, "repeated-key", place, message)
-            own.add(key.digest)
