--- a/features/steps/config_check_steps.py
+++ b/features/steps/config_check_steps.py
@@ -14,6 +14,7 @@
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.directory.config_warnings import ConfigWarnings
 from pistachiospar.directory.coordinator import Directory
+from pistachiospar.organisations.models import KeyRules
 from pistachiospar.platform.const import KEY_CONFIG
 from pistachiospar.platform.directory import PLATFORM_KEYS
 from pistachiospar.telemetry.metrics import Metrics
@@ -243,7 +244,15 @@
     """Return the lines about findings that each version causes."""
     store = Store()
     kv = FakeKeyValue(store, KvFaultSet())
-    directory = Directory(kv, kv, PLATFORM_KEYS, Metrics(), Random(0))
+    directory = Directory(
+        kv,
+        kv,
+        PLATFORM_KEYS,
+        Metrics(),
+        Random(0),
+        KeyRules(),
+        time.monotonic,
+    )
     ConfigWarnings(directory)
     found = []
     for text in texts:
--- a/packages/pistachiospar/src/pistachiospar/platform/config_draft.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/config_draft.py
@@ -6,11 +6,11 @@
 from base64 import b64decode
 import binascii
 from contextlib import suppress
+from hashlib import sha256
 
 import msgspec
 
 from ..helpers.json_positions import Path
-from ..organisations.keys import compute_digest
 from ..routing.check_models import ConfigDraft
 from ..routing.check_models import InstanceRange
 from ..routing.check_models import KeyDraft
@@ -25,7 +25,6 @@
 from .manifest import read_upstream
 from .manifest import RouteMessage
 from .manifest import ServiceMessage
-from .organisations import TenantMessage
 
 
 class ScaleMessage(msgspec.Struct):
@@ -42,6 +41,15 @@
     scale: ScaleMessage | None = None
 
 
+class TenantDraftMessage(msgspec.Struct):
+    """An organisation with its keys, and digests in place of some."""
+
+    name: str
+    apiKeys: list[str] = []
+    keyDigests: list[str] = []
+    priority: int | None = None
+
+
 class ConfigDraftMessage(msgspec.Struct):
     """The complete configuration."""
 
@@ -49,7 +57,7 @@
     routes: list[RouteMessage]
     services: list[ServiceDraftMessage]
     limits: LimitsMessage
-    tenants: list[TenantMessage] | None = None
+    tenants: list[TenantDraftMessage] | None = None
 
 
 # Names of the data classes' fields in the configuration; times have units.
@@ -117,7 +125,7 @@
     return UpstreamDraft(read_upstream(message), instances)
 
 
-def _make_organisation(message: TenantMessage) -> OrganisationDraft:
+def _make_organisation(message: TenantDraftMessage) -> OrganisationDraft:
     """Convert an organisation; its keys become digests."""
     keys = [_make_key(key) for key in message.apiKeys]
     for encoded in message.keyDigests:
@@ -130,6 +138,6 @@
 
 def _make_key(key: str) -> KeyDraft:
     """Return what may be known of a key."""
-    digest = compute_digest(key.encode()).hex()
+    digest = sha256(key.encode()).hexdigest()
     is_visible = key.isascii() and key.isprintable() and " " not in key
     return KeyDraft(digest, len(key), is_visible)
