--- a/packages/pistachiospar/src/pistachiospar/platform/organisations.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/organisations.py
@@ -64,7 +64,7 @@
             if _TENANTS not in fields:
                 return value
             concealed = self._conceal_list(bytes(fields[_TENANTS]))
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return msgspec.json.encode(ErrorMessage(str(error)))
         fields[_TENANTS] = msgspec.Raw(concealed)
         return msgspec.json.encode(fields)
