--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -5,6 +5,7 @@
 
 from ..adapters.http.models import Headers
 from ..routing.models import Route
+from ..usage.recorder import CallMeter
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +19,7 @@
     `organisation` is the name of the one it belongs to: empty for a public
     call, None when no organisations are configured. The priority of `route`
     is the organisation's if that has one.
+    `meter` counts the call for the usage report, if it is to be counted.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     stream: str = ""
     after_event: int = 0
     organisation: str | None = None
+    meter: CallMeter | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ..duties.models import DutySettings
 from ..organisations.models import KeyRules
 
 
@@ -15,7 +16,8 @@
     service stores, `result_retention_s` how long an ended submission can
     still be read, `cpu_capacity` how much of a core it has. `is_first_start`
     is set when all gateways start together for the first time. `key_rules`
-    say by how old a configuration keys are checked.
+    say by how old a configuration keys are checked. `duties` is None when
+    there are none.
     """
 
     name: str
@@ -27,3 +29,4 @@
     cpu_capacity: float = 1.0
     is_first_start: bool = False
     key_rules: KeyRules = field(default_factory=KeyRules)
+    duties: DutySettings | None = None
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -9,14 +9,12 @@
 from . import const
 from ..crashes.fingerprints import compute_fingerprint
 from ..directory.coordinator import Directory
-from ..forwarding.coordinator import Forwarder
+from ..forwarding.metering import MeteredForwarder
 from ..forwarding.models import CallFailure
-from ..forwarding.models import CallOutcome
 from ..forwarding.models import CallResponse
 from ..forwarding.models import describe_outcome
 from ..forwarding.models import FailureKind
 from ..forwarding.models import ForwardCall
-from ..forwarding.streams import StreamForwarder
 from ..helpers.problems import Problem
 from ..helpers.problems import refuse_input
 from ..helpers.problems import refuse_not_run
@@ -49,8 +47,7 @@
     def __init__(
         self,
         directory: Directory,
-        forwarder: Forwarder,
-        streams: StreamForwarder,
+        forwarder: MeteredForwarder,
         submissions: SubmissionHandler,
         refusals: RefusalSender,
         key_rules: KeyRules,
@@ -59,7 +56,6 @@
         """Initialize; `key_rules` say how callers' keys are checked."""
         self._directory = directory
         self._forwarder = forwarder
-        self._streams = streams
         self._submissions = submissions
         self._refuse = refusals.send
         self._key_rules = key_rules
@@ -179,12 +175,7 @@
             after_event=resumed.after_event if resumed else 0,
             organisation=organisation,
         )
-        if route.stream:
-            outcome: CallOutcome | None = await self._streams.forward(
-                call, exchange
-            )
-        else:
-            outcome = await self._forwarder.forward(call)
+        outcome = await self._forwarder.forward(call, exchange)
         took_s = trio.current_time() - arrived_at
         self._metrics.observe("call", took_s)
         log_event(
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -49,8 +49,16 @@
 LEAVING: Final = "1"
 HEADER_SERVER_LIMIT: Final = "server-limit"
 HEADER_INSTANCE_LOAD: Final = "instance-load"
+# The pace in a load report of an instance where work takes its usual time.
+USUAL_PACE: Final = 100.0
 HEADER_RESPONSE_STAMP: Final = "response-stamp"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 MAX_EVENT_NUMBER_DIGITS: Final = 18
 MAX_REQUEST_ID_CHARACTERS: Final = 128
 HEADER_REQUEST_PRIORITY: Final = "Request-Priority"
+
+# Duties
+PATH_USAGE: Final = "/usage"
+PATH_SCALE: Final = "/scale"
+HEADER_DUTY_HOLDER: Final = "Duty-Holder"
+HEADER_FENCE_TOKEN: Final = "Fence-Token"
