--- a/bench/organisations.py
+++ b/bench/organisations.py
@@ -4,6 +4,7 @@
 what it occupies in memory, and what a call's key costs.
 """
 
+from collections.abc import Callable
 import time
 import tracemalloc
 
@@ -14,6 +15,8 @@
 from pistachiospar.organisations.models import KeyRules
 from pistachiospar.platform.manifest import read_table
 from pistachiospar.platform.organisations import conceal_keys
+from pistachiospar.platform.organisations import KeyConcealer
+from pistachiospar.platform.organisations import read_organisations
 
 ORGANISATIONS = 10_000
 KEYS_EACH = 2
@@ -66,11 +69,18 @@
     return took_s / LOOKUPS * 1e6
 
 
-def measure_median_ms(work: object, value: bytes) -> float:
-    """Return the median CPU time of a function of a value."""
-    assert callable(work)
+def measure_median_ms(
+    work: Callable[[bytes], object],
+    value: bytes,
+    prepare: Callable[[], object] = lambda: None,
+) -> float:
+    """Return the median CPU time of a function of a value.
+
+    `prepare` is called before each time.
+    """
     durations = []
     for _ in range(REPEATS):
+        prepare()
         started = time.process_time()
         work(value)
         durations.append(time.process_time() - started)
@@ -91,8 +101,16 @@
     rows = {
         "configuration, MB": len(encoded) / 1e6,
         "passed on with digests, MB": len(concealed) / 1e6,
-        "concealing, ms": measure_median_ms(conceal_keys, encoded),
-        "reading digests, ms": measure_median_ms(read_table, concealed),
+        "concealing a new list, ms": measure_median_ms(
+            lambda value: KeyConcealer().conceal(value), encoded
+        ),
+        "concealing an equal list, ms": measure_median_ms(
+            conceal_keys, encoded
+        ),
+        "reading a new list, ms": measure_median_ms(
+            read_table, concealed, read_organisations.cache_clear
+        ),
+        "reading an equal list, ms": measure_median_ms(read_table, concealed),
         "memory of the table, MB": memory_mb,
         "known key, us": measure_lookup_us(concealed, known),
         "unknown key, us": measure_lookup_us(concealed, unknown),
