--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -30,6 +30,7 @@
 from ..kv.store import Store
 from .cloud import FakeCloud
 from .cloud import FakeCloudClient
+from .configurations import make_route
 from .gateway_plan import GatewayPlan
 from .gateway_plan import RunningGateway
 from .kv import KvFaultSet
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -4,6 +4,8 @@
 from enum import Enum
 
 from ..adapters.http.models import Headers
+from ..costs.models import CallClass
+from ..costs.models import classify_call
 from ..routing.models import Route
 from ..usage.recorder import CallMeter
 
@@ -20,6 +22,7 @@
     call, None when no organisations are configured. The priority of `route`
     is the organisation's if that has one.
     `meter` counts the call for the usage report, if it is to be counted.
+    `tokens` is how many it is expected to read and generate, 0 when unknown.
     """
 
     request_id: str
@@ -36,6 +39,13 @@
     after_event: int = 0
     organisation: str | None = None
     meter: CallMeter | None = None
+    tokens: int = 0
+
+    def classify(self, upstream: str) -> CallClass:
+        """Return the class of this call's cost at an upstream."""
+        return classify_call(
+            upstream, self.route.name, len(self.body), self.tokens
+        )
 
 
 @dataclass(frozen=True, slots=True)
