--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -300,15 +300,15 @@
         """Write the next version of the operator's configuration."""
         self.configuration_version += 1
         routes = [
-            _make_route("plain", PLAIN_PREFIX, "safe", APP),
-            _make_route("score", SCORE_PREFIX, "safe", APP),
+            make_route(HOST, "plain", PLAIN_PREFIX, "safe", APP),
+            make_route(HOST, "score", SCORE_PREFIX, "safe", APP),
             {
-                **_make_route("stream", STREAM_PREFIX, "safe", POOL),
+                **make_route(HOST, "stream", STREAM_PREFIX, "safe", POOL),
                 "stream": True,
                 "resumable": self.plan.resumable,
             },
             {
-                **_make_route("roll", ROLLOUT_PREFIX, "rollout", POOL),
+                **make_route(HOST, "roll", ROLLOUT_PREFIX, "rollout", POOL),
                 "resultDueMs": 7500,
                 "maxAgeS": self.plan.max_age_s,
                 "maxAttempts": self.plan.max_attempts,
@@ -372,20 +372,3 @@
     def _write(self, key: str, value: bytes) -> None:
         """Write a key as the operator or the platform does."""
         self.store.write(key, value, 0, trio.current_time())
-
-
-def _make_route(
-    name: str, prefix: str, kind: str, upstream: str
-) -> dict[str, object]:
-    """Return one route of the configuration, as JSON values."""
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": prefix,
-        "kind": kind,
-        "timeoutMs": 2000,
-        "targetLatencyMs": 400,
-        "priority": 1,
-        "maxAttempts": 3,
-        "service": upstream,
-    }
