Hold memory only where it can suffice; note the choice by costs

Cause: the first item that waits for memory held the instance with the most left, also one that could never have enough: shorter items then filled the larger one. Two mutants of the choice survived: own calls counted twice in a report, and the remaining cost of own calls ignored.

Change: an instance that may have enough for the item is held. Three rows, one for the hold and one for each mutant.

The new rows fail with the hold unrestricted and with the remaining cost ignored.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -44,6 +44,8 @@
       | an instance that reports to be slow is left |
       | an old report of being slow counts little |
       | an instance without news counts as loaded as the others |
+      | of two instances full of own calls the one with less work left |
+      | own calls in a report don't count twice |
       | what was sent since a report counts |
       | the own zone is preferred |
       | two long items where one fits |
@@ -55,6 +57,7 @@
       | a long item where others use the memory |
       | a long item where others used the memory long ago |
       | an item that needs more than there is runs alone |
+      | an instance that alone has enough for a long item |
       | an instance that a long item waits for |
       | the margin without experience |
       | the margin after exact hints |
--- a/features/support/call_policies.py
+++ b/features/support/call_policies.py
@@ -1,6 +1,7 @@
 """Decisions on plain calls: instance, waiting, time to come back."""
 
 from collections.abc import Callable
+from contextlib import ExitStack
 from random import Random
 
 from pistachiospar.adapters.http.client import Address
@@ -8,6 +9,7 @@
 from pistachiospar.forwarding.admission import estimate_availability
 from pistachiospar.forwarding.admission import may_wait
 from pistachiospar.forwarding.choice import choose_instance
+from pistachiospar.forwarding.choice import estimate_loads
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.gateway.retry_after import choose_retry_after_s
 from pistachiospar.ports.sampler import InstanceLoad
@@ -61,6 +63,40 @@
     return chosen.name if chosen else "none"
 
 
+def choose_beside_own_calls() -> set[str]:
+    """Return the choices between two instances that own calls fill.
+
+    Four long calls run at a, four short ones at b.
+    """
+    health, address = InstanceHealth(Random(1)), Address("127.0.0.1", 1)
+    with ExitStack() as calls:
+        for name, cost_s in (("a", 2.0), ("b", 0.1)):
+            call = CallClass("u", name)
+            health.costs.record(call, cost_s, NOW)
+            for _ in range(4):
+                calls.enter_context(health.track_call(name, 4, call, NOW))
+        instances = [
+            ListedInstance(name, "u", address, "z", 4, False) for name in "ab"
+        ]
+        chosen = [
+            choose_instance(
+                instances, health, (), "z", lambda i: True, NOW, 0.1, Random(n)
+            )
+            for n in range(9)
+        ]
+    return {instance.name for instance in chosen if instance}
+
+
+def estimate_load(in_flight: int, load: InstanceLoad) -> list[float]:
+    """Return the load of an instance that reported while own calls run."""
+    health = InstanceHealth(Random(1))
+    state = health.get_state("a")
+    state.in_flight = in_flight
+    health.record_load("a", load, NOW)
+    instance = ListedInstance("a", "u", Address("", 1), "z", 4, False)
+    return estimate_loads([instance], [state], NOW)
+
+
 def count_first_choices() -> int:
     """Return how many of four instances forty gateways call first.
 
@@ -203,6 +239,14 @@
         ),
         "a",
     ),
+    "of two instances full of own calls the one with less work left": (
+        choose_beside_own_calls,
+        {"b"},
+    ),
+    "own calls in a report don't count twice": (
+        lambda: estimate_load(3, InstanceLoad(3, 2, 4)),
+        [5.0],
+    ),
     "what was sent since a report counts": (
         lambda: choose_for_call(
             {"a": 2, "b": 0},
--- a/features/support/memory_cases.py
+++ b/features/support/memory_cases.py
@@ -82,6 +82,19 @@
     return "".join(laid)
 
 
+def hold_for_long() -> str:
+    """Return where items are laid while only one instance has enough.
+
+    It runs another one; the smaller instance has more left at the moment.
+    """
+    memory = MemoryTable()
+    record_memory(memory, "a", 500)
+    record_memory(memory, "b", 1000)
+    other = make_submission((100, 500, 500))
+    found = lay_in(memory, ["b"], other)
+    return found + lay_in(memory, ["a", "b"], make_submission(LONG, SHORT))
+
+
 def lay_after_end() -> str:
     """Return where a long item is laid before and after another's end."""
     memory = MemoryTable()
@@ -194,6 +207,10 @@
         lambda: lay({"a": (600, 0)}, LONG, SHORT),
         "a-",
     ),
+    "an instance that alone has enough for a long item": (
+        hold_for_long,
+        "b-a",
+    ),
     "an instance that a long item waits for": (
         lambda: lay({"a": (1000, 0)}, LONG, LONG, SHORT),
         "a--",
--- a/packages/pistachiospar/src/pistachiospar/submissions/allocation.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/allocation.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from . import const
+from .memory import MemoryNeed
 from .memory import MemoryTable
 from .registry import ItemState
 from .registry import SubmissionState
@@ -89,7 +90,9 @@
         )
         if candidate is not None:
             self.free[candidate.instance] -= 1
-        elif not self._hold_instance(fitting, usable, version):
+        elif fitting is usable or not self._hold_instance(
+            usable, self._memory.estimate_need(model, state.item), version
+        ):
             self._no_slot_from[key] = version
         return candidate
 
@@ -101,13 +104,14 @@
 
     def _hold_instance(
         self,
-        fitting: list[SlotCandidate],
         usable: list[SlotCandidate],
+        need: MemoryNeed,
         version: int,
     ) -> bool:
         """Return whether an item waits for memory only.
 
-        The first one holds the instance with the most memory left.
+        The first one holds the instance with the most memory left, of those
+        that could have enough for it.
         """
         with_slots = [
             candidate.instance
@@ -115,14 +119,17 @@
             if candidate.version >= version
             and self.free[candidate.instance] > 0
         ]
-        if fitting is usable or not with_slots:
+        if not with_slots:
             return False
         self._memory_misses += 1
         if not self._held:
             self._held.add(
                 max(
                     with_slots,
-                    key=lambda n: self._memory.count_free(n, self._now),
+                    key=lambda name: (
+                        self._memory.may_become_free(name, need, self._now),
+                        self._memory.count_free(name, self._now),
+                    ),
                 )
             )
         return True
--- a/packages/pistachiospar/src/pistachiospar/submissions/memory.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/memory.py
@@ -202,6 +202,15 @@
         needed = sum(need.total for _, need in running.values())
         return self._count_usable(report, now) - needed
 
+    def may_become_free(
+        self, instance: str, need: MemoryNeed, now: float
+    ) -> bool:
+        """Return whether an item fits once the holder's others there ended."""
+        report = self._reports.get(instance)
+        return report is not None and need.total <= self._count_usable(
+            report, now
+        )
+
     def find_largest(self, instances: Iterable[str], now: float) -> int:
         """Return the most memory that an item could have at an instance."""
         reports = [self._reports.get(name) for name in instances]
