Admit plain calls by the room that instances have

A crowd of 25 times the usual plain calls, with one of three instances silent, made each call several at the instances: rejected calls were offered again at once and slow ones hedged, calls were held until their deadlines, and refusals came after 60 % of the caller's time.

A gateway now offers nothing to an instance that rejected a call, or whose figures are at its queue, until its figures or time say otherwise. Other calls wait in the gateway, bounded in number and bytes, by priority, share of the organisation and deadline, or are refused at once when they can't be served in time. Second attempts under pressure have a budget.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -68,7 +68,7 @@
     """The size and settings of a small fleet of gateways.
 
     `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream.
+    plain upstream, whose instances queue `queue` calls.
     """
 
     gateways: int = 3
@@ -76,6 +76,7 @@
     apps: int = 2
     models: tuple[str, ...] = ("m0", "m1")
     slots: int = 4
+    queue: int = 0
     seed: int = 0
     max_attempts: int = 3
     single_version: bool = False
@@ -283,6 +284,8 @@
         sampler = FakeSampler(name, self.plan.slots, software=software)
         if upstream == POOL:
             sampler.versions = dict.fromkeys(self.plan.models, 1)
+        else:
+            sampler.queue = self.plan.queue
         self.cluster.samplers[name] = sampler
         self.write_instance(name, upstream)
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
@@ -16,7 +16,8 @@
     for each event and plain response, `error_share` for each call, and
     `lost_order_share` for each load order: its reply is lost, and the order is
     applied later. One that is `leaving` says so and serves on. `limit_per_s`
-    is the limit that it names in its responses; it serves on beyond it.
+    is the limit that it names in its responses; it serves on beyond it. One
+    that is `silent` takes plain calls, and goes on with them afterwards.
     """
 
     down: bool = False
@@ -26,6 +27,7 @@
     error_share: float = 0.0
     leaving: bool = False
     limit_per_s: float | None = None
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,11 +62,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ArrivalRecord:
-    """A call, order or report as it arrived; the time is in seconds."""
+    """A call, order or report as it arrived; the time is in seconds.
+
+    `call_id` is empty for orders and reports.
+    """
 
     arrived_at: float
     instance: str
     gateway: str
+    call_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +94,7 @@
         stamp: str = "",
         version: int | None = None,
         events: AsyncIterator[StreamEvent] | None = None,
+        load: InstanceLoad | None = None,
     ) -> None:
         """Create a response with a body, or a stream of `events`."""
         self.status = status
@@ -95,7 +102,7 @@
         self.not_run = not_run
         self.stamp = stamp
         self.version = version
-        self.load: InstanceLoad | None = None
+        self.load = load
         self._body = body
         self._events = events
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -11,6 +11,7 @@
 from dataclasses import field
 from random import Random
 
+from pistachiospar.ports.sampler import InstanceLoad
 from pistachiospar.ports.sampler import LimitListener
 from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import LoadOrderOutcome
@@ -39,6 +40,7 @@
 MAX_ORDER_DELAY_S = 4.0
 PLAIN_CALL_DURATION_S = 0.03
 CRASH_DELAY_S = 0.05
+QUEUE_POLL_S = 0.002
 PROMPT_HEADER = "Prompt"
 LeavingListener = Callable[[ListedInstance], None]
 STREAMED_PREFIXES = ("/rollout/", "/stream/")
@@ -81,11 +83,14 @@
 
     `loading` is a load in progress with the time of its end; `delayed_orders`
     are orders with a lost reply and the times at which they are applied;
-    `software` is the version of its software, `started_ms` its start.
+    `software` is the version of its software, `started_ms` its start. With a
+    `queue` that many calls wait for a slot, and plain responses tell the load.
     """
 
     name: str
     slots: int = 8
+    queue: int = 0
+    waiting: int = 0
     versions: dict[str, int] = field(default_factory=dict)
     faults: SamplerFaults = field(default_factory=SamplerFaults)
     speed: SamplerSpeed = SamplerSpeed()
@@ -138,6 +143,13 @@
     return [f"{item}.{number}" for number in range(1, count + 1)]
 
 
+def _make_load(sampler: FakeSampler) -> InstanceLoad | None:
+    """Return an instance's load; None unless it has a queue."""
+    if not sampler.queue:
+        return None
+    return InstanceLoad(sampler.running, sampler.waiting)
+
+
 def make_stamp(call_id: str) -> str:
     """Return the signature of an instance's response."""
     return f"signed-{call_id}"
@@ -200,12 +212,16 @@
             raise UpstreamNotSentError("down")
         sent_at = trio.current_time()
         await trio.sleep(0.001)
-        self._record_arrival(sampler)
-        if sampler.running >= sampler.slots:
+        self._record_arrival(sampler, call.request_id)
+        if (
+            sampler.running >= sampler.slots
+            and sampler.waiting >= sampler.queue
+        ):
             self._report_limit(sampler, instance, sent_at)
-            yield FakeResponse(503, not_run=True)
+            yield FakeResponse(503, not_run=True, load=_make_load(sampler))
             return
         self._connected.add(sampler.name)
+        await self._wait_for_slot(sampler)
         sampler.running += 1
         try:
             response = await self._start_run(sampler, call)
@@ -282,10 +298,21 @@
             self.report_leaving(instance)
         return sampler
 
-    def _record_arrival(self, sampler: FakeSampler) -> None:
+    async def _wait_for_slot(self, sampler: FakeSampler) -> None:
+        """Wait in the instance's queue until a slot is free."""
+        sampler.waiting += 1
+        try:
+            while sampler.running >= sampler.slots:
+                await trio.sleep(QUEUE_POLL_S)
+        finally:
+            sampler.waiting -= 1
+
+    def _record_arrival(self, sampler: FakeSampler, call_id: str = "") -> None:
         """Record that a call, order or report of this gateway arrived."""
         self._cluster.arrivals.append(
-            ArrivalRecord(trio.current_time(), sampler.name, self._gateway)
+            ArrivalRecord(
+                trio.current_time(), sampler.name, self._gateway, call_id
+            )
         )
 
     def _report_limit(
@@ -320,10 +347,13 @@
             await trio.sleep(
                 PLAIN_CALL_DURATION_S * sampler.faults.slow_factor
             )
+            while sampler.faults.silent:
+                await trio.sleep(EVENT_INTERVAL_S)
             self._maybe_interrupt(sampler)
             body = b"answer to " + call.body
             stamp = make_stamp(call.request_id)
-            return FakeResponse(200, body, stamp=stamp)
+            load = _make_load(sampler)
+            return FakeResponse(200, body, stamp=stamp, load=load)
         model = call.target.split("/")[2]
         loading = sampler.loading
         if loading is not None and loading[1].model == model:
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
@@ -0,0 +1,421 @@
+"""Admission of plain calls, by what this gateway knows of the instances."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+
+import trio
+
+from . import const
+from ..forwarding.health import InstanceHealth
+from ..forwarding.models import ForwardCall
+from ..forwarding.selection import choose_upstream
+from ..forwarding.selection import InstanceSelector
+from ..ports.sampler import InstanceLoad
+from ..routing.instances import ListedInstance
+from ..shares.line import WaitingCall
+from ..shares.line import WaitingLine
+from ..telemetry.logs import log_event
+from ..telemetry.metrics import Metrics
+from .budgets import earn
+from .budgets import spend
+from .decisions import choose_max_wait_s
+from .decisions import estimate_rate_per_s
+from .decisions import estimate_wait_s
+from .decisions import fits_bounds
+from .decisions import is_hopeless
+from .decisions import update_history
+from .models import AdmissionAnswer
+from .models import AdmissionRefusal
+from .models import CallOffer
+from .models import InstanceRoom
+from .models import LineHistory
+from .models import NoInstance
+from .models import RetryBudget
+from .models import Started
+from .models import Waiting
+from .rooms import is_open
+from .rooms import is_stalled
+from .rooms import record_acceptance
+from .rooms import record_end
+from .rooms import record_rejection
+from .rooms import record_sent
+
+BUDGET_DETAIL = "the retries of the upstream are used up"
+
+
+@dataclass(slots=True)
+class UpstreamLine:
+    """The calls that wait for an upstream, and its budget of retries.
+
+    Calls waited last at `busy_at`.
+    """
+
+    budget: RetryBudget
+    history: LineHistory
+    calls: WaitingLine[CallOffer] = field(default_factory=WaitingLine)
+    busy_at: float = float("-inf")
+
+    def note_use(self, is_busy: bool, now: float) -> None:
+        """Note whether calls wait, or are refused instead."""
+        self.history = update_history(self.history, is_busy, now)
+        if is_busy:
+            self.busy_at = now
+
+    def is_pressed(self, now: float) -> bool:
+        """Return whether calls wait, or did so recently."""
+        return now - self.busy_at < const.PRESSURE_S
+
+    def spend_token(self, may_refuse: bool, now: float) -> bool:
+        """Take a token for a second attempt; False when there is none."""
+        budget = spend(self.budget, may_refuse, now)
+        if budget is not None:
+            self.budget = budget
+        return budget is not None
+
+
+class CallAdmission:
+    """Offer calls to instances with room, and keep or refuse the others."""
+
+    def __init__(
+        self,
+        selector: InstanceSelector,
+        health: InstanceHealth,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Initialize; `rng` spreads offers to instances that were full."""
+        self._selector = selector
+        self._health = health
+        self._metrics = metrics
+        self._rng = rng
+        self._lines: dict[str, UpstreamLine] = {}
+        self._rooms: dict[str, InstanceRoom] = {}
+        self._waiting: dict[CallOffer, tuple[str, WaitingCall[CallOffer]]] = {}
+        self._waiting_bytes = 0
+        self._has_waiting = trio.Event()
+        metrics.add_gauge("calls_waiting", lambda: len(self._waiting))
+        metrics.add_gauge("calls_waiting_bytes", lambda: self._waiting_bytes)
+
+    async def run(self) -> None:
+        """Offer waiting calls again as time passes."""
+        swept_at = trio.current_time()
+        while True:
+            await self._has_waiting.wait()
+            now = trio.current_time()
+            is_due = now - swept_at >= const.SWEEP_INTERVAL_S
+            for upstream in list(self._lines):
+                self._dispatch(upstream, now)
+                if is_due:
+                    self._refuse_hopeless(upstream, now)
+            if is_due:
+                swept_at = now
+            if not self._waiting:
+                self._has_waiting = trio.Event()
+            await trio.sleep(const.POLL_INTERVAL_S)
+
+    def request(self, offer: CallOffer, now: float) -> AdmissionAnswer:
+        """Start a call at an instance, let it wait, or refuse it."""
+        call = offer.call
+        upstream = choose_upstream(call.route, self._rng)
+        line = self._get_line(upstream, now)
+        candidates = self._list_candidates(upstream, call, now)
+        if not candidates:
+            return NoInstance()
+        if not offer.is_repeated:
+            line.budget = earn(line.budget, now)
+        elif line.is_pressed(now) and not line.spend_token(
+            offer.may_refuse(), now
+        ):
+            return AdmissionRefusal(
+                BUDGET_DETAIL, self._estimate_wait_s(upstream, call, now)
+            )
+        if not line.calls.count and self._start(upstream, offer, now):
+            line.note_use(False, now)
+            return Started()
+        if offer.hedges and not line.is_pressed(now):
+            return NoInstance()
+        refusal = self._find_refusal(upstream, offer, now)
+        if refusal is not None:
+            self._metrics.count("calls_refused_at_once")
+            return refusal
+        self._add(upstream, offer, now)
+        self._dispatch(upstream, now)
+        return Waiting() if offer in self._waiting else Started()
+
+    def withdraw(self, offer: CallOffer) -> None:
+        """Forget a call that waits no longer; no-op if it doesn't wait."""
+        found = self._waiting.pop(offer, None)
+        if found is not None:
+            upstream, waiting = found
+            self._waiting_bytes -= len(offer.call.body)
+            self._lines[upstream].calls.remove(waiting)
+
+    def is_pressed(self, instance: ListedInstance, now: float) -> bool:
+        """Return whether calls wait for an instance's upstream."""
+        line = self._lines.get(instance.upstream)
+        return line is not None and line.is_pressed(now)
+
+    def is_stuck(self, instance: ListedInstance, now: float) -> bool:
+        """Return whether an instance seems to answer no calls now."""
+        state = self._health.get_state(instance.name)
+        usual_s = self._find_usual_duration_s(instance.upstream, now)
+        return now < state.avoided_until or is_stalled(
+            self._get_room(instance), usual_s, now
+        )
+
+    def record_sent(self, instance: ListedInstance, now: float) -> None:
+        """Record a call before it is sent to an instance."""
+        in_flight = self._health.get_state(instance.name).in_flight
+        self._rooms[instance.name] = record_sent(
+            self._get_room(instance), in_flight, now
+        )
+
+    def record_response(
+        self,
+        instance: ListedInstance,
+        load: InstanceLoad | None,
+        is_rejected: bool,
+        now: float,
+    ) -> None:
+        """Record that an instance ran a call, or rejected it as full."""
+        room = self._get_room(instance)
+        if not is_rejected:
+            room = record_acceptance(room, load, instance.slots, now)
+        else:
+            state = self._health.get_state(instance.name)
+            room = record_rejection(
+                room,
+                load,
+                state.in_flight - 1,
+                instance.slots,
+                state.mean_duration_s,
+                self._rng.random(),
+                now,
+            )
+            self._metrics.count("offers_rejected")
+        self._rooms[instance.name] = room
+
+    def record_end(
+        self, instance: ListedInstance, responded: bool, now: float
+    ) -> None:
+        """Record the end of a call, and use the room that it leaves."""
+        in_flight = self._health.get_state(instance.name).in_flight
+        self._rooms[instance.name] = record_end(
+            self._get_room(instance), in_flight, responded, now
+        )
+        if instance.upstream in self._lines:
+            self._dispatch(instance.upstream, now)
+
+    def _dispatch(self, upstream: str, now: float) -> None:
+        """Start the waiting calls for which there is room, in order."""
+        line = self._lines[upstream]
+        while line.calls.count:
+            line.note_use(True, now)
+            if not any(
+                self._start_waiting(upstream, waiting, now)
+                for waiting in line.calls.list_next()
+            ):
+                return
+        line.note_use(False, now)
+
+    def _start_waiting(
+        self, upstream: str, waiting: WaitingCall[CallOffer], now: float
+    ) -> bool:
+        """Start a waiting call; False when there is no room for it."""
+        offer = waiting.value
+        instance = self._find_instance(upstream, offer, now)
+        if instance is None:
+            return False
+        self._lines[upstream].calls.take(waiting)
+        del self._waiting[offer]
+        self._waiting_bytes -= len(offer.call.body)
+        offer.start(instance)
+        return True
+
+    def _start(self, upstream: str, offer: CallOffer, now: float) -> bool:
+        """Start a call that needs not wait; False when there is no room."""
+        instance = self._find_instance(upstream, offer, now)
+        if instance is None:
+            return False
+        offer.start(instance)
+        return True
+
+    def _find_instance(
+        self, upstream: str, offer: CallOffer, now: float
+    ) -> ListedInstance | None:
+        """Return an instance with room for a call."""
+        call = offer.call
+        candidates = self._list_candidates(upstream, call, now)
+        is_pressed = self._lines[upstream].is_pressed(now)
+        if is_pressed:
+            answering = [i for i in candidates if not self.is_stuck(i, now)]
+            candidates = answering or candidates
+        open_instances = [
+            instance
+            for instance in candidates
+            if is_open(
+                self._get_room(instance),
+                self._health.get_state(instance.name).in_flight,
+                instance.slots,
+                now,
+            )
+        ]
+        if offer.hedges:
+            open_instances = [
+                instance
+                for instance in open_instances
+                if instance.name not in offer.tried
+                and self._selector.may_hedge_at(instance)
+                and (is_pressed or self._has_free_slot(instance, now))
+            ]
+        return self._selector.choose_among(open_instances, offer.tried, now)
+
+    def _has_free_slot(self, instance: ListedInstance, now: float) -> bool:
+        """Return whether a call would run at once at an instance."""
+        load = self._health.get_state(instance.name).count_load(now)
+        return load < max(1, instance.slots)
+
+    def _list_candidates(
+        self, upstream: str, call: ForwardCall, now: float
+    ) -> list[ListedInstance]:
+        """Return the instances that no limit keeps from taking a call."""
+        return self._selector.list_unlimited(
+            upstream, call.route.priority, now
+        )
+
+    def _add(self, upstream: str, offer: CallOffer, now: float) -> None:
+        """Let a call wait."""
+        call = offer.call
+        line = self._lines[upstream]
+        line.note_use(True, now)
+        waiting = line.calls.add(
+            offer,
+            call.route.priority,
+            call.organisation or "",
+            call.give_up_at,
+        )
+        self._waiting[offer] = upstream, waiting
+        self._waiting_bytes += len(call.body)
+        self._has_waiting.set()
+        self._metrics.count("calls_queued")
+
+    def _find_refusal(
+        self, upstream: str, offer: CallOffer, now: float
+    ) -> AdmissionRefusal | None:
+        """Return why a call may not wait; None when it may.
+
+        One that may have run has to be waited for in any case.
+        """
+        call = offer.call
+        line = self._lines[upstream]
+        expected_s = self._estimate_wait_s(upstream, call, now)
+        if offer.may_refuse() and expected_s is not None:
+            max_wait_s = choose_max_wait_s(
+                call.give_up_at - now,
+                call.route.target_latency_s,
+                self._find_usual_duration_s(upstream, now),
+                line.history.is_standing,
+            )
+            if expected_s > max_wait_s:
+                line.note_use(True, now)
+                return AdmissionRefusal(
+                    f"no room within {max_wait_s:.2f} s",
+                    expected_s - max(0.0, max_wait_s),
+                )
+        if not self._make_space(upstream, offer, now):
+            return AdmissionRefusal("too many calls wait", expected_s)
+        return None
+
+    def _make_space(self, upstream: str, offer: CallOffer, now: float) -> bool:
+        """Return whether a call may be held, if need be for a less urgent."""
+        new_bytes = len(offer.call.body)
+        while not fits_bounds(
+            len(self._waiting), self._waiting_bytes, new_bytes
+        ):
+            last = self._lines[upstream].calls.find_last()
+            if (
+                last is None
+                or last.priority <= offer.call.route.priority
+                or not last.value.may_refuse()
+            ):
+                return False
+            self._refuse(upstream, last.value, "too many calls wait", now)
+        return True
+
+    def _refuse_hopeless(self, upstream: str, now: float) -> None:
+        """Refuse the waiting calls that can't be served in time any more."""
+        line = self._lines[upstream].calls
+        is_empty = not self._selector.list_instances(upstream, now)
+        rate_per_s = self._estimate_rate_per_s(upstream, now)
+        duration_s = self._find_usual_duration_s(upstream, now)
+        for waiting in line:
+            offer = waiting.value
+            if not offer.may_refuse():
+                continue
+            ahead = line.count_ahead(
+                waiting.priority, waiting.organisation, waiting.deadline
+            )
+            expected_s = estimate_wait_s(ahead, rate_per_s)
+            remaining_s = waiting.deadline - now
+            if is_empty or is_hopeless(expected_s, duration_s, remaining_s):
+                self._refuse(upstream, offer, "no room in time", now)
+
+    def _refuse(
+        self, upstream: str, offer: CallOffer, detail: str, now: float
+    ) -> None:
+        """End the wait of a call."""
+        expected_s = self._estimate_wait_s(upstream, offer.call, now)
+        self.withdraw(offer)
+        self._metrics.count("calls_refused_waiting")
+        log_event(
+            "waiting_call_refused",
+            request=offer.call.request_id,
+            upstream=upstream,
+            waiting=self._lines[upstream].calls.count,
+            detail=detail,
+        )
+        offer.refuse(AdmissionRefusal(detail, expected_s))
+
+    def _estimate_wait_s(
+        self, upstream: str, call: ForwardCall, now: float
+    ) -> float | None:
+        """Return how long a call is expected to wait; None if unknown."""
+        ahead = self._lines[upstream].calls.count_ahead(
+            call.route.priority, call.organisation or "", call.give_up_at
+        )
+        return estimate_wait_s(ahead, self._estimate_rate_per_s(upstream, now))
+
+    def _estimate_rate_per_s(self, upstream: str, now: float) -> float | None:
+        """Return how many of our calls a second an upstream ends."""
+        states = [
+            self._health.get_state(instance.name)
+            for instance in self._selector.list_instances(upstream, now)
+            if not self.is_stuck(instance, now)
+        ]
+        return estimate_rate_per_s(
+            (state.in_flight, state.mean_duration_s) for state in states
+        )
+
+    def _find_usual_duration_s(self, upstream: str, now: float) -> float:
+        """Return how long a call takes on average, 0 if unknown."""
+        durations_s = [
+            duration_s
+            for duration_s in (
+                self._health.get_state(instance.name).mean_duration_s
+                for instance in self._selector.list_instances(upstream, now)
+            )
+            if duration_s
+        ]
+        return sum(durations_s) / max(1, len(durations_s))
+
+    def _get_line(self, upstream: str, now: float) -> UpstreamLine:
+        """Return an upstream's line, a new one if there is none."""
+        if upstream not in self._lines:
+            budget = RetryBudget(const.RETRY_RESERVE, now)
+            self._lines[upstream] = UpstreamLine(budget, LineHistory(now))
+        return self._lines[upstream]
+
+    def _get_room(self, instance: ListedInstance) -> InstanceRoom:
+        """Return what is known of the room at an instance."""
+        return self._rooms.get(instance.name, InstanceRoom())
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -4,6 +4,12 @@
 
 import trio
 
+from ..admission.coordinator import CallAdmission
+from ..admission.models import AdmissionAnswer
+from ..admission.models import AdmissionRefusal
+from ..admission.models import CallOffer
+from ..admission.models import Started
+from ..admission.models import Waiting
 from . import const
 from ..crashes.const import MAX_CRASHES_PER_CALL
 from ..crashes.coordinator import CrashWatch
@@ -18,6 +24,7 @@
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .attempts import AttemptEvent
 from .attempts import CallAttempts
 from .health import InstanceHealth
 from .models import CallFailure
@@ -30,6 +37,8 @@
 
 SUCCESSES = range(200, 300)
 SERVER_ERRORS = range(500, 600)
+# With these, an instance that didn't run a call says that it is full.
+FULL_STATUSES = (429, 503)
 
 
 class Forwarder:
@@ -41,6 +50,7 @@
         selector: InstanceSelector,
         health: InstanceHealth,
         crashes: CrashWatch,
+        admission: CallAdmission,
         metrics: Metrics,
     ) -> None:
         """Initialize; `selector` picks the instances."""
@@ -48,6 +58,7 @@
         self.selector = selector
         self._health = health
         self._crashes = crashes
+        self._admission = admission
         self._metrics = metrics
         self._nursery: trio.Nursery | None = None
 
@@ -59,6 +70,7 @@
         """Run the attempts, including those whose call has ended."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._admission.run)
             task_status.started()
             await trio.sleep_forever()
 
@@ -77,7 +89,7 @@
             is_trial = assessment.status is RequestStatus.TRIAL
             if assessment.status is not RequestStatus.FREE:
                 call = replace(call, hedged=False)
-        sender, outcomes = trio.open_memory_channel[CallOutcome](64)
+        sender, outcomes = trio.open_memory_channel[AttemptEvent](64)
         attempts = CallAttempts(call, sender, is_trial=is_trial)
         outcome: CallOutcome | None = None
         try:
@@ -86,6 +98,8 @@
         except trio.Cancelled:
             attempts.set_deadline(float("-inf"))
             raise
+        finally:
+            self._withdraw(attempts)
         attempts.set_deadline(call.give_up_at + const.ATTEMPT_GRACE_S)
         if outcome is not None:
             return outcome
@@ -108,14 +122,15 @@
             fault=kind.value,
             detail=attempts.detail,
         )
-        return CallFailure(
-            kind, attempts.detail, self.selector.estimate_wait_s(call.route)
-        )
+        expected_s = attempts.expected_s
+        if expected_s is None:
+            expected_s = self.selector.estimate_wait_s(call.route)
+        return CallFailure(kind, attempts.detail, expected_s)
 
     async def _run_attempts(
         self,
         attempts: CallAttempts,
-        outcomes: trio.MemoryReceiveChannel[CallOutcome],
+        outcomes: trio.MemoryReceiveChannel[AttemptEvent],
     ) -> CallOutcome | None:
         """Start attempts until one decides the call.
 
@@ -134,22 +149,40 @@
                 return None
             if not attempts.running and self._has_to_stop(attempts):
                 return attempts.server_error
-            if attempts.running == 0 or self._may_hedge(attempts):
-                started = self._start_attempt(attempts)
-                if not started and attempts.running == 0:
-                    if attempts.started >= call.max_attempts:
-                        return attempts.server_error
-                    if attempts.may_refuse() and not self.selector.may_wait(
-                        call, attempts.permit_wait_until
+            if attempts.offer is None and (
+                attempts.running == 0 or self._may_hedge(attempts)
+            ):
+                answer = self._request_attempt(attempts)
+                match answer:
+                    case Started() | Waiting():
+                        pass
+                    case _ if attempts.running:
+                        pass
+                    case AdmissionRefusal() if self._accept_refusal(
+                        attempts, answer
                     ):
-                        return None
-                    await trio.sleep(const.RETRY_DELAY_S)
-                    continue
-            outcome = await self._wait_for_outcome(attempts, outcomes)
-            if outcome is None:
-                continue
-            attempts.running -= 1
+                        return attempts.server_error
+                    case _:
+                        if attempts.started >= call.max_attempts:
+                            return attempts.server_error
+                        if (
+                            attempts.may_refuse()
+                            and not self.selector.may_wait(
+                                call, attempts.permit_wait_until
+                            )
+                        ):
+                            return None
+                        await trio.sleep(const.RETRY_DELAY_S)
+                        continue
+            outcome = await self._wait_for_outcome(
+                attempts, outcomes, refuse_at
+            )
+            if isinstance(outcome, (CallResponse, CallFailure)):
+                attempts.running -= 1
             match outcome:
+                case AdmissionRefusal():
+                    if self._accept_refusal(attempts, outcome):
+                        return attempts.server_error
                 case CallResponse(status=status) if (
                     status in SERVER_ERRORS and call.route.is_repeatable
                 ):
@@ -176,6 +209,21 @@
                     if not call.route.is_repeatable:
                         return outcome
 
+    def _accept_refusal(
+        self, attempts: CallAttempts, refusal: AdmissionRefusal
+    ) -> bool:
+        """Return whether a call ends with a refusal; keep its reasons.
+
+        One that may have run goes on, unless it has an answer.
+        """
+        if attempts.server_error is not None:
+            return not attempts.running
+        if not attempts.may_refuse():
+            return False
+        attempts.detail = refusal.detail
+        attempts.expected_s = refusal.expected_s
+        return True
+
     def _has_to_stop(self, attempts: CallAttempts) -> bool:
         """Return whether a call crashed too much to be sent on."""
         return (
@@ -195,22 +243,37 @@
         return assessment
 
     def _may_hedge(self, attempts: CallAttempts) -> bool:
-        """Return whether a further attempt may run in parallel."""
+        """Return whether a further attempt may run in parallel.
+
+        Under pressure only when the others run where nothing is answered.
+        """
         call = attempts.call
+        now = trio.current_time()
         return (
             call.hedged
             and not attempts.crashes
             and call.route.is_repeatable
             and attempts.started < call.max_attempts
             and attempts.started > 0
+            and not any(
+                self._admission.is_pressed(instance, now)
+                and not self._admission.is_stuck(instance, now)
+                for instance in attempts.running_at
+            )
         )
 
     async def _wait_for_outcome(
         self,
         attempts: CallAttempts,
-        outcomes: trio.MemoryReceiveChannel[CallOutcome],
-    ) -> CallOutcome | None:
-        """Return an attempt's outcome; None when a hedge is due first."""
+        outcomes: trio.MemoryReceiveChannel[AttemptEvent],
+        refuse_at: float,
+    ) -> AttemptEvent | None:
+        """Return what happens; None when a hedge or refusal is due first."""
+        if not attempts.running:
+            at = refuse_at if attempts.may_refuse() else float("inf")
+            with trio.move_on_at(at):
+                return await outcomes.receive()
+            return None
         if (
             not attempts.call.hedged
             or attempts.started >= attempts.call.max_attempts
@@ -223,33 +286,59 @@
             return await outcomes.receive()
         return None
 
-    def _start_attempt(self, attempts: CallAttempts) -> bool:
-        """Start one attempt; False when no instance or attempt is left.
+    def _request_attempt(
+        self, attempts: CallAttempts
+    ) -> AdmissionAnswer | None:
+        """Start one attempt or let it wait for room; None if none is left.
 
         A hedge never goes to an instance that was tried before or that named
         a limit.
         """
         if attempts.started >= attempts.call.max_attempts:
-            return False
-        now = trio.current_time()
-        instance = self.selector.pick_instance(
-            attempts.call.route, attempts.tried, now
+            return None
+
+        def start(instance: ListedInstance) -> None:
+            attempts.offer = None
+            self._start_attempt(attempts, instance)
+
+        def refuse(refusal: AdmissionRefusal) -> None:
+            attempts.offer = None
+            attempts.outcome_sender.send_nowait(refusal)
+
+        offer = CallOffer(
+            attempts.call,
+            attempts.tried,
+            bool(attempts.arrivals or attempts.running),
+            bool(attempts.running),
+            attempts.may_refuse,
+            start,
+            refuse,
         )
-        if instance is None:
-            return False
-        if attempts.running and (
-            instance.name in attempts.tried
-            or not self.selector.may_hedge_at(instance)
-        ):
-            return False
+        answer = self._admission.request(offer, trio.current_time())
+        if isinstance(answer, Waiting):
+            attempts.offer = offer
+        return answer
+
+    def _withdraw(self, attempts: CallAttempts) -> None:
+        """Let a call wait for room no longer."""
+        if attempts.offer is not None:
+            self._admission.withdraw(attempts.offer)
+            attempts.offer = None
+
+    def _start_attempt(
+        self, attempts: CallAttempts, instance: ListedInstance
+    ) -> None:
+        """Start one attempt at an instance."""
         attempts.tried.add(instance.name)
         attempts.started += 1
         attempts.running += 1
+        attempts.running_at.append(instance)
+        self._admission.record_sent(instance, trio.current_time())
+        self._health.get_state(instance.name).in_flight += 1
         assert self._nursery is not None, "run() is not running"
         scope = trio.CancelScope()
         attempts.cancel_scopes.append(scope)
         self._nursery.start_soon(self._run_attempt, attempts, instance, scope)
-        return True
 
     async def _run_attempt(
         self,
@@ -261,16 +350,22 @@
         outcome: CallOutcome = CallFailure(
             FailureKind.LOST, "attempt cancelled"
         )
-        with scope:
-            outcome = await self._call_instance(attempts, instance)
+        try:
+            with scope:
+                outcome = await self._call_instance(attempts, instance)
+        finally:
+            self._health.get_state(instance.name).in_flight -= 1
+            attempts.running_at.remove(instance)
         attempts.outcome_sender.send_nowait(outcome)
+        self._admission.record_end(
+            instance, isinstance(outcome, CallResponse), trio.current_time()
+        )
 
     async def _call_instance(
         self, attempts: CallAttempts, instance: ListedInstance
     ) -> CallOutcome:
         """Call an instance, and record load, duration and failures."""
         call = attempts.call
-        state = self._health.get_state(instance.name)
         started_at = trio.current_time()
         sampler_call = SamplerCall(
             call.request_id,
@@ -282,11 +377,10 @@
             urgency=call.route.priority,
             max_wait_s=max(0.0, attempts.permit_wait_until - started_at),
         )
-        state.in_flight += 1
         sent = True
         try:
             async with self._samplers.call(instance, sampler_call) as response:
-                outcome = await self._read_response(response, instance.name)
+                outcome = await self._read_response(response, instance)
         except UpstreamLimitError as error:
             return CallFailure(FailureKind.NOT_RUN, str(error))
         except UpstreamNotSentError as error:
@@ -298,8 +392,7 @@
                 attempts.crashes += await self._crashes.inspect_loss(
                     instance, call.fingerprint, call.request_id
                 )
-        finally:
-            state.in_flight -= 1
+        attempts.arrivals += sent
         if call.fingerprint and isinstance(outcome, CallResponse):
             self._crashes.record_response(call.fingerprint)
         now = trio.current_time()
@@ -309,12 +402,18 @@
         return outcome
 
     async def _read_response(
-        self, response: SamplerResponse, name: str
+        self, response: SamplerResponse, instance: ListedInstance
     ) -> CallOutcome:
         """Read a response; a 2xx that is encoded or not signed is lost."""
+        name = instance.name
         now = trio.current_time()
         self._health.record_load(name, response.load, now)
         body = await response.read_body()
+        is_rejected = response.not_run and response.status in FULL_STATUSES
+        if is_rejected or not response.not_run:
+            self._admission.record_response(
+                instance, response.load, is_rejected, trio.current_time()
+            )
         if response.not_run:
             return CallFailure(
                 FailureKind.NOT_RUN, f"{name}: status {response.status}"
--- a/packages/pistachiospar/src/pistachiospar/forwarding/models.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/models.py
@@ -15,6 +15,7 @@
     `fingerprint` recognises the request when it comes again; empty for calls
     that are owed whatever instances they crash. A caller resumes the stream
     that began with the request `stream` after the event `after_event`.
+    `organisation` is None without organisations, "" on public routes.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     fingerprint: str = ""
     stream: str = ""
     after_event: int = 0
+    organisation: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
@@ -107,11 +107,38 @@
             upstream = choose_upstream(route, self._rng)
         else:
             upstream = origin.upstream
-        open_instances = [
+        open_instances = self.list_unlimited(
+            upstream, route.priority, now, origin
+        )
+        return self.choose_among(open_instances, tried, now)
+
+    def list_instances(
+        self, upstream: str, now: float
+    ) -> list[ListedInstance]:
+        """Return an upstream's instances."""
+        return self._find_instances(upstream, now)
+
+    def list_unlimited(
+        self,
+        upstream: str,
+        priority: int,
+        now: float,
+        origin: SoftwareOrigin | None = None,
+    ) -> list[ListedInstance]:
+        """Return the instances whose limit allows a call now."""
+        return [
             instance
             for instance in self._list_instances(upstream, origin, now)
-            if not self._limits.find_wait_s(instance, route.priority, now)
+            if not self._limits.find_wait_s(instance, priority, now)
         ]
+
+    def choose_among(
+        self,
+        open_instances: list[ListedInstance],
+        tried: set[str],
+        now: float,
+    ) -> ListedInstance | None:
+        """Return one of the instances for a call; None without any."""
         limited = {
             instance.name
             for instance in open_instances
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -7,6 +7,7 @@
 from result import Ok
 import trio
 
+from ..admission.coordinator import CallAdmission
 from . import const
 from ..crashes.const import PREFIX_CLEARED
 from ..crashes.const import PREFIX_RECORDS
@@ -183,6 +184,7 @@
             selector,
             self.health,
             self.crashes,
+            CallAdmission(selector, self.health, self.metrics, rng),
             self.metrics,
         )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/shares/__init__.py
@@ -0,0 +1,1 @@
+"""Order of waiting calls by priority, organisation and deadline."""
--- /dev/null
+++ b/packages/pistachiospar/src/pistachiospar/shares/line.py
@@ -0,0 +1,172 @@
+"""The calls that wait for one upstream, in the order of their shares."""
+
+from bisect import bisect_left
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Generic
+from typing import TypeVar
+
+from .decisions import choose_organisation
+from .decisions import count_before
+from .decisions import order_priorities
+from .decisions import update_floor_credit
+
+Value = TypeVar("Value")
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class WaitingCall(Generic[Value]):
+    """A waiting call; `cost` is what it takes of its organisation's share."""
+
+    value: Value
+    priority: int
+    organisation: str
+    deadline: float
+    number: int
+    cost: float = 1.0
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Return what orders the calls of one organisation."""
+        return (self.deadline, self.number)
+
+
+@dataclass(slots=True)
+class PriorityLine(Generic[Value]):
+    """The waiting calls of one priority, by organisation.
+
+    `finish_tags` has organisations that wait or that are ahead of
+    `virtual_time`.
+    """
+
+    calls: dict[str, list[WaitingCall[Value]]] = field(default_factory=dict)
+    finish_tags: dict[str, float] = field(default_factory=dict)
+    virtual_time: float = 0.0
+
+    def find_next(self) -> WaitingCall[Value]:
+        """Return the call that goes next; there must be one."""
+        tags = {name: self.finish_tags.get(name, 0.0) for name in self.calls}
+        return self.calls[choose_organisation(tags, self.virtual_time)][0]
+
+    def charge(self, call: WaitingCall[Value], weight: float) -> None:
+        """Charge a call that goes now to its organisation."""
+        tag = self.finish_tags.get(call.organisation, 0.0)
+        self.virtual_time = max(tag, self.virtual_time)
+        self.finish_tags[call.organisation] = (
+            self.virtual_time + call.cost / weight
+        )
+        self.finish_tags = {
+            name: tag
+            for name, tag in self.finish_tags.items()
+            if name in self.calls or tag > self.virtual_time
+        }
+
+
+class WaitingLine(Generic[Value]):
+    """The waiting calls of an upstream; `weights` are by organisation."""
+
+    def __init__(self, weights: dict[str, float] | None = None) -> None:
+        """Create an empty line; organisations without a weight have 1."""
+        self._weights = {} if weights is None else weights
+        self._priorities: dict[int, PriorityLine[Value]] = {}
+        self._floor_credit = 0.0
+        self._added = 0
+        self.count = 0
+
+    def __iter__(self) -> Iterator[WaitingCall[Value]]:
+        """Iterate over a copy, by priority, then organisation, deadline."""
+        return iter(
+            [
+                call
+                for _, line in sorted(self._priorities.items())
+                for calls in line.calls.values()
+                for call in calls
+            ]
+        )
+
+    def add(
+        self,
+        value: Value,
+        priority: int,
+        organisation: str,
+        deadline: float,
+        cost: float = 1.0,
+    ) -> WaitingCall[Value]:
+        """Add a call and return it."""
+        self._added += 1
+        call = WaitingCall(
+            value, priority, organisation, deadline, self._added, cost
+        )
+        line = self._priorities.setdefault(priority, PriorityLine())
+        insort(
+            line.calls.setdefault(organisation, []), call, key=lambda c: c.rank
+        )
+        self.count += 1
+        return call
+
+    def remove(self, call: WaitingCall[Value]) -> None:
+        """Remove a call that waits no longer and was not taken."""
+        line = self._priorities[call.priority]
+        calls = line.calls[call.organisation]
+        calls.remove(call)
+        self.count -= 1
+        if not calls:
+            del line.calls[call.organisation]
+        if not line.calls:
+            del self._priorities[call.priority]
+
+    def list_next(self) -> list[WaitingCall[Value]]:
+        """Return the next call of each priority, in the order to try them."""
+        return [
+            self._priorities[priority].find_next()
+            for priority in order_priorities(
+                self._priorities, self._floor_credit
+            )
+        ]
+
+    def take(self, call: WaitingCall[Value]) -> None:
+        """Remove a call that goes now, and charge it to its organisation."""
+        self._floor_credit = update_floor_credit(
+            self._floor_credit, call.priority, self._priorities
+        )
+        line = self._priorities[call.priority]
+        line.charge(call, self._weights.get(call.organisation, 1.0))
+        self.remove(call)
+
+    def find_last(self) -> WaitingCall[Value] | None:
+        """Return the call that gives way to a more urgent one."""
+        if not self._priorities:
+            return None
+        line = self._priorities[max(self._priorities)]
+        longest = max(line.calls.values(), key=len)
+        return longest[-1]
+
+    def count_ahead(
+        self, priority: int, organisation: str, deadline: float
+    ) -> float:
+        """Return how many calls go before one of a deadline, by shares."""
+        ahead = float(
+            sum(
+                len(calls)
+                for other, line in self._priorities.items()
+                if other < priority
+                for calls in line.calls.values()
+            )
+        )
+        found = self._priorities.get(priority)
+        if found is None:
+            return ahead
+        own = bisect_left(
+            found.calls.get(organisation, []),
+            (deadline, 0),
+            key=lambda call: call.rank,
+        )
+        others = {
+            name: len(calls)
+            for name, calls in found.calls.items()
+            if name != organisation
+        }
+        weights = {**self._weights, "": self._weights.get(organisation, 1.0)}
+        return ahead + count_before(own, others, weights)
