Share the room of full upstreams among priorities and organisations

Waiting calls go by priority, with a floor of 5 % for the least urgent, then by weighted max-min share of the organisations, then by deadline. A call's expected wait counts only the calls that go before it by these shares, so that one organisation's crowd doesn't have others refused.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -13,6 +13,7 @@
       | far more calls than the instances run    |
       | instances without a queue or figures     |
       | as many calls as the other instances run |
+      | refused callers come back once           |
       | the usual calls                          |
 
   Scenario Outline: an instance with 4 slots: <load>
@@ -86,6 +87,34 @@
       | shares by weight                  | 1a90 1b90         | 60   | b=2     | 1a20 1b40     |
       | unused room is lent by weight     | 1a90 1b90 1c5     | 65   | b=2     | 1a20 1b40 1c5 |
 
+  Scenario Outline: organisations at full instances: <case>
+    When callers of several organisations fill the instances: <case>
+    Then each organisation gets its share
+
+    Examples:
+      | case                                           |
+      | two organisations get equal shares             |
+      | an organisation within its share is served     |
+      | lent room returns within a second              |
+      | urgent calls go first, the others keep a floor |
+      | urgent calls within the room are all served    |
+
+  Scenario Outline: <ahead> calls go before a call of <call>
+    Failure guarded against: a refusal by the whole line, not by the share.
+
+    Given waiting calls by priority and organisation: <waiting>
+    Then <ahead> calls go before one of <call>
+
+    Examples:
+      | waiting      | call | ahead |
+      | 1a9          | 1a   | 9     |
+      | 1a9          | 1b   | 1     |
+      | 1a9 1b3 1c9  | 1b   | 11    |
+      | 1a9          | 0a   | 0     |
+      | 0a9 1a9      | 1a   | 18    |
+      | 0a900 1a1    | 1a   | 39    |
+      | 0a900 1a1    | 1b   | 39    |
+
   Scenario: Lent room returns with the next calls
     Given waiting calls by priority and organisation: 1a90
     And room for 40 calls came
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -7,6 +7,7 @@
 from pistachiospar.shares.line import WaitingLine
 from support import admission_decisions
 from support import crowd_cases
+from support import share_crowds
 
 
 @when("callers send a crowd of calls: {scenario}")
@@ -112,6 +113,29 @@
     assert context.found == taken, context.found
 
 
+@when("callers of several organisations fill the instances: {case}")
+def run_shares(context: Context, case: str) -> None:
+    """Run a case."""
+    context.violations = share_crowds.run_case(case)
+
+
+@then("each organisation gets its share")
+def check_shares(context: Context) -> None:
+    """Check that the run found nothing."""
+    assert not context.violations, context.violations
+
+
+@then("{ahead:d} calls go before one of {call:w}")
+def check_ahead(context: Context, ahead: int, call: str) -> None:
+    """Check how many calls go before a new one, and before waiting ones."""
+    line = context.waiting
+    found = line.count_ahead(int(call[0]), call[1], admission_decisions.LATER)
+    assert found == ahead, found
+    line.add(call, int(call[0]), call[1], admission_decisions.LATER)
+    places = {c.deadline: n for c, n in line.list_ahead()}
+    assert places[admission_decisions.LATER] == ahead, places
+
+
 @when("calls with the deadlines {deadlines} wait")
 def add_deadlines(context: Context, deadlines: str) -> None:
     """Take calls of one organisation by their deadlines."""
--- a/features/support/admission_decisions.py
+++ b/features/support/admission_decisions.py
@@ -12,6 +12,7 @@
 from pistachiospar.shares.line import WaitingLine
 
 NOW = 100.0
+LATER = 101.0
 SLOTS = 4
 DURATION_S = 0.1
 
--- a/features/support/crowd_cases.py
+++ b/features/support/crowd_cases.py
@@ -35,7 +35,9 @@
 
     `slow_factor` multiplies the 30 ms that a call takes; three instances run
     four calls at once each. Some calls at the silent instance are held until
-    their deadlines, where there is no time left to run them again.
+    their deadlines, where there is no time left to run them again. With
+    `min_returned_share`, refused callers come back once, and that share of
+    them is served.
     """
 
     per_s: float = CROWD_PER_S
@@ -47,6 +49,7 @@
     max_held_share: float = 0.0
     min_on_target_share: float = 0.6
     max_arrivals_per_call: float = MAX_ARRIVALS_PER_CALL
+    min_returned_share: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
     scenario: CrowdScenario
     fleet: GatewayFleet
     ended: list[CallRecord] = field(default_factory=list)
+    returned: list[CallRecord] = field(default_factory=list)
 
     def describe(self) -> str:
         """Return the figures of the run."""
@@ -76,6 +80,7 @@
         return (
             f"calls {len(self.ended)}, arrivals {self._count_arrivals()}, "
             f"statuses {dict(statuses)}, late {late}, refused soon {soon}, "
+            f"returned {Counter(call.status for call in self.returned)}, "
             f"slowest {max(c.took_s for c in self.ended):.2f} s"
         )
 
@@ -114,6 +119,10 @@
             found.append(f"{on_target} of {len(served)} served on target")
         if len(served) < scenario.min_served_share * self._count_capacity():
             found.append(f"{len(served)} served")
+        if scenario.min_returned_share is not None:
+            served_later = sum(call.status == 200 for call in self.returned)
+            if served_later < scenario.min_returned_share * len(self.returned):
+                found.append(f"{served_later} of {len(refused)} came to room")
         return [f"{text}; {self.describe()}" for text in found]
 
     def _count_capacity(self) -> float:
@@ -123,8 +132,17 @@
         return min(per_s * instance_s, len(self.ended))
 
     async def call(self, number: int) -> None:
-        """Send one call to one of the gateways and record how it ended."""
-        call_id = f"c{number}"
+        """Send one call to one of the gateways, again if it is refused."""
+        await self._send(number, f"c{number}", self.ended)
+        wait_s = self.ended[-1].retry_after_s
+        if wait_s and self.scenario.min_returned_share is not None:
+            await trio.sleep(wait_s)
+            await self._send(number, f"r{number}", self.returned)
+
+    async def _send(
+        self, number: int, call_id: str, ended: list[CallRecord]
+    ) -> None:
+        """Send a call and record how it ended."""
         request = HttpRequest(
             "POST",
             PLAIN_PREFIX + "x",
@@ -142,10 +160,10 @@
         response = await self.fleet.send_request(name, request)
         took_s = trio.current_time() - started_at
         if response is None:
-            self.ended.append(CallRecord(call_id, 0, took_s, None))
+            ended.append(CallRecord(call_id, 0, took_s, None))
             return
         wait = response.headers.get("retry-after")
-        self.ended.append(
+        ended.append(
             CallRecord(
                 call_id,
                 response.status,
@@ -189,6 +207,9 @@
     "instances without a queue or figures": CrowdScenario(
         queue=0, max_held_share=0.005
     ),
+    "refused callers come back once": CrowdScenario(
+        is_silent=False, min_served_share=0.0, min_returned_share=0.5
+    ),
     "as many calls as the other instances run": CrowdScenario(
         slow_factor=1.3, max_refused_share=0.01, min_on_target_share=0.98
     ),
--- a/packages/pistachiospar/src/pistachiospar/admission/const.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/const.py
@@ -51,6 +51,9 @@
 # where the run alone takes longer than the target.
 MIN_WAIT_SHARE: Final = 0.25
 
+# Refused callers are told to come back one after the other, up to this time.
+MAX_PROMISE_S: Final = 10.0
+
 # Waiting calls are offered on each response, and at this interval, since the
 # time that an instance is held for runs out without a message.
 POLL_INTERVAL_S: Final = 0.03
--- a/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
@@ -24,6 +24,7 @@
 from .decisions import estimate_wait_s
 from .decisions import fits_bounds
 from .decisions import is_hopeless
+from .decisions import promise_return
 from .decisions import update_history
 from .models import AdmissionAnswer
 from .models import AdmissionRefusal
@@ -48,13 +49,15 @@
 class UpstreamLine:
     """The calls that wait for an upstream, and its budget of retries.
 
-    Calls waited last at `busy_at`.
+    Calls waited last at `busy_at`. Refused callers come back for the room up
+    to `promised_until`.
     """
 
     budget: RetryBudget
     history: LineHistory
     calls: WaitingLine[CallOffer] = field(default_factory=WaitingLine)
     busy_at: float = float("-inf")
+    promised_until: float = float("-inf")
 
     def note_use(self, is_busy: bool, now: float) -> None:
         """Note whether calls wait, or are refused instead."""
@@ -127,9 +130,8 @@
         elif line.is_pressed(now) and not line.spend_token(
             offer.may_refuse(), now
         ):
-            return AdmissionRefusal(
-                BUDGET_DETAIL, self._estimate_wait_s(upstream, call, now)
-            )
+            expected_s = self._estimate_wait_s(upstream, call, now)
+            return self._make_refusal(upstream, BUDGET_DETAIL, expected_s, now)
         if not line.calls.count and self._start(upstream, offer, now):
             line.note_use(False, now)
             return Started()
@@ -315,18 +317,36 @@
                 call.give_up_at - now,
                 call.route.target_latency_s,
                 self._find_usual_duration_s(upstream, now),
-                line.history.is_standing,
+                line.history.is_standing
+                and not line.calls.count_more_urgent(call.route.priority),
             )
             if expected_s > max_wait_s:
                 line.note_use(True, now)
-                return AdmissionRefusal(
+                return self._make_refusal(
+                    upstream,
                     f"no room within {max_wait_s:.2f} s",
                     expected_s - max(0.0, max_wait_s),
+                    now,
                 )
         if not self._make_space(upstream, offer, now):
-            return AdmissionRefusal("too many calls wait", expected_s)
+            return self._make_refusal(
+                upstream, "too many calls wait", expected_s, now
+            )
         return None
 
+    def _make_refusal(
+        self, upstream: str, detail: str, expected_s: float | None, now: float
+    ) -> AdmissionRefusal:
+        """Return a refusal with when its caller finds room."""
+        line = self._lines[upstream]
+        rate_per_s = self._estimate_rate_per_s(upstream, now)
+        if expected_s is None or rate_per_s is None:
+            return AdmissionRefusal(detail, expected_s)
+        line.promised_until = promise_return(
+            line.promised_until, expected_s, rate_per_s, now
+        )
+        return AdmissionRefusal(detail, line.promised_until - now)
+
     def _make_space(self, upstream: str, offer: CallOffer, now: float) -> bool:
         """Return whether a call may be held, if need be for a less urgent."""
         new_bytes = len(offer.call.body)
@@ -349,13 +369,10 @@
         is_empty = not self._selector.list_instances(upstream, now)
         rate_per_s = self._estimate_rate_per_s(upstream, now)
         duration_s = self._find_usual_duration_s(upstream, now)
-        for waiting in line:
+        for waiting, ahead in line.list_ahead():
             offer = waiting.value
             if not offer.may_refuse():
                 continue
-            ahead = line.count_ahead(
-                waiting.priority, waiting.organisation, waiting.deadline
-            )
             expected_s = estimate_wait_s(ahead, rate_per_s)
             remaining_s = waiting.deadline - now
             if is_empty or is_hopeless(expected_s, duration_s, remaining_s):
@@ -375,7 +392,7 @@
             waiting=self._lines[upstream].calls.count,
             detail=detail,
         )
-        offer.refuse(AdmissionRefusal(detail, expected_s))
+        offer.refuse(self._make_refusal(upstream, detail, expected_s, now))
 
     def _estimate_wait_s(
         self, upstream: str, call: ForwardCall, now: float
--- a/packages/pistachiospar/src/pistachiospar/admission/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/decisions.py
@@ -54,7 +54,8 @@
 
     `duration_s` is how long a call takes. A burst is served before the
     callers' deadlines. In a crowd that lasts (`is_standing`), waiting longer
-    serves no more calls, so that those which are served shall be on target.
+    serves no more calls, so that those which are served shall be on target;
+    where more urgent calls wait, the others can't be, and may be late.
     """
     wait_s = min(const.WAIT_SHARE * remaining_s, remaining_s - duration_s)
     if not is_standing:
@@ -75,6 +76,17 @@
     return expected_wait_s + duration_s > remaining_s
 
 
+def promise_return(
+    promised_until: float, expected_s: float, rate_per_s: float, now: float
+) -> float:
+    """Return up to when room is promised, with one more refused caller.
+
+    Callers that were all told of the first room would not all find it.
+    """
+    room_at = max(promised_until, now + expected_s) + 1.0 / rate_per_s
+    return min(room_at, now + const.MAX_PROMISE_S)
+
+
 def fits_bounds(calls: int, held_bytes: int, new_bytes: int) -> bool:
     """Return whether one more call of `new_bytes` may wait here."""
     return (
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -12,6 +12,9 @@
 RELEASE_MARGIN_S: Final = 0.7
 RETRY_AFTER_MIN_S: Final = 0.2
 RETRY_AFTER_MAX_S: Final = 2.0
+# Where the time is known it may be longer; a caller that comes back sooner
+# finds no room again.
+RETRY_AFTER_MAX_KNOWN_S: Final = 10.0
 RETRY_AFTER_OUTAGE_SHARE: Final = 0.4
 RETRY_AFTER_JITTER: Final = 0.5
 # The last response goes out this long before the caller's deadline.
--- a/packages/pistachiospar/src/pistachiospar/gateway/retry_after.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/retry_after.py
@@ -20,8 +20,10 @@
     one that has lasted long is likely to go on.
     """
     wait_s = expected_s
+    max_s = const.RETRY_AFTER_MAX_KNOWN_S
     if wait_s is None:
         wait_s = const.RETRY_AFTER_OUTAGE_SHARE * outage_s
-    wait_s = min(max(wait_s, const.RETRY_AFTER_MIN_S), const.RETRY_AFTER_MAX_S)
+        max_s = const.RETRY_AFTER_MAX_S
+    wait_s = min(max(wait_s, const.RETRY_AFTER_MIN_S), max_s)
     spread = 1.0 + const.RETRY_AFTER_JITTER * rng.random()
     return round(wait_s * spread, 2)
--- a/packages/pistachiospar/src/pistachiospar/shares/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/shares/decisions.py
@@ -6,8 +6,12 @@
 don't starve.
 """
 
+from bisect import bisect_right
 from collections.abc import Collection
+from collections.abc import Iterable
 from collections.abc import Mapping
+from dataclasses import dataclass
+from itertools import accumulate
 
 from . import const
 
@@ -55,17 +59,48 @@
     )
 
 
-def count_before(
-    own: int, others: Mapping[str, int], weights: Mapping[str, float]
+def count_ahead(
+    more_urgent: int, own_priority: float, is_least_urgent: bool
 ) -> float:
-    """Return how many waiting calls of a priority go before a new one.
+    """Return how many calls go before one, those of its priority given.
 
-    `own` is how many calls of its organisation (the key "") go before it,
-    `others` how many wait of each other organisation; each of these gets at
-    most its share by weight until then.
+    The least urgent priority gets its floor whatever is more urgent.
     """
-    turns = (own + 1) / weights.get("", 1.0)
-    return own + sum(
-        min(count, turns * weights.get(name, 1.0))
-        for name, count in others.items()
+    ahead = more_urgent + own_priority
+    if not more_urgent or not is_least_urgent:
+        return ahead
+    return min(ahead, (own_priority + 1.0) / const.FLOOR_SHARE - 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class ShareTable:
+    """The organisations that wait, by the turns that serve all their calls.
+
+    A turn serves as many calls of each organisation as its weight. `calls`
+    sums up the calls of the first organisations, `weights` the weights of
+    all after them.
+    """
+
+    turns: list[float]
+    calls: list[float]
+    weights: list[float]
+
+    def count_served(self, turns: float) -> float:
+        """Return how many waiting calls so many turns serve."""
+        done = bisect_right(self.turns, turns)
+        return self.calls[done] + turns * self.weights[done]
+
+
+def make_share_table(
+    waiting: Iterable[tuple[float, float]],
+) -> ShareTable:
+    """Return the table for the waiting calls and weight of organisations."""
+    ordered = sorted((count / weight, weight) for count, weight in waiting)
+    calls = accumulate((t * w for t, w in ordered), initial=0.0)
+    total = sum(weight for _, weight in ordered)
+    passed = accumulate((w for _, w in ordered), initial=0.0)
+    return ShareTable(
+        [turns for turns, _ in ordered],
+        list(calls),
+        [total - weight for weight in passed],
     )
--- a/packages/pistachiospar/src/pistachiospar/shares/line.py
+++ b/packages/pistachiospar/src/pistachiospar/shares/line.py
@@ -2,15 +2,16 @@
 
 from bisect import bisect_left
 from bisect import insort
-from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Generic
 from typing import TypeVar
 
 from .decisions import choose_organisation
-from .decisions import count_before
+from .decisions import count_ahead
+from .decisions import make_share_table
 from .decisions import order_priorities
+from .decisions import ShareTable
 from .decisions import update_floor_credit
 
 Value = TypeVar("Value")
@@ -75,17 +76,6 @@
         self._added = 0
         self.count = 0
 
-    def __iter__(self) -> Iterator[WaitingCall[Value]]:
-        """Iterate over a copy, by priority, then organisation, deadline."""
-        return iter(
-            [
-                call
-                for _, line in sorted(self._priorities.items())
-                for calls in line.calls.values()
-                for call in calls
-            ]
-        )
-
     def add(
         self,
         value: Value,
@@ -132,7 +122,7 @@
             self._floor_credit, call.priority, self._priorities
         )
         line = self._priorities[call.priority]
-        line.charge(call, self._weights.get(call.organisation, 1.0))
+        line.charge(call, self._get_weight(call.organisation))
         self.remove(call)
 
     def find_last(self) -> WaitingCall[Value] | None:
@@ -146,27 +136,52 @@
     def count_ahead(
         self, priority: int, organisation: str, deadline: float
     ) -> float:
-        """Return how many calls go before one of a deadline, by shares."""
-        ahead = float(
-            sum(
-                len(calls)
-                for other, line in self._priorities.items()
-                if other < priority
-                for calls in line.calls.values()
-            )
+        """Return how many calls go before a new one of a deadline."""
+        line = self._priorities.get(priority, PriorityLine())
+        calls = line.calls.get(organisation, [])
+        own = bisect_left(calls, (deadline, 0), key=lambda call: call.rank)
+        table = self._make_share_table(line, organisation)
+        turns = (own + 1) / self._get_weight(organisation)
+        return count_ahead(
+            self.count_more_urgent(priority),
+            own + table.count_served(turns),
+            priority >= max(self._priorities, default=priority),
+        )
+
+    def list_ahead(self) -> list[tuple[WaitingCall[Value], float]]:
+        """Return all waiting calls and how many go before each."""
+        found: list[tuple[WaitingCall[Value], float]] = []
+        for priority, line in self._priorities.items():
+            more_urgent = self.count_more_urgent(priority)
+            is_least_urgent = priority == max(self._priorities)
+            table = self._make_share_table(line)
+            for name, calls in line.calls.items():
+                weight = self._get_weight(name)
+                for place, call in enumerate(calls, start=1):
+                    own = table.count_served(place / weight) - 1.0
+                    ahead = count_ahead(more_urgent, own, is_least_urgent)
+                    found.append((call, ahead))
+        return found
+
+    def count_more_urgent(self, priority: int) -> int:
+        """Return how many calls of more urgent priorities wait."""
+        return sum(
+            len(calls)
+            for other, line in self._priorities.items()
+            if other < priority
+            for calls in line.calls.values()
         )
-        found = self._priorities.get(priority)
-        if found is None:
-            return ahead
-        own = bisect_left(
-            found.calls.get(organisation, []),
-            (deadline, 0),
-            key=lambda call: call.rank,
+
+    def _make_share_table(
+        self, line: PriorityLine[Value], without: str | None = None
+    ) -> ShareTable:
+        """Return the table of a priority's shares."""
+        return make_share_table(
+            (len(calls), self._get_weight(name))
+            for name, calls in line.calls.items()
+            if name != without
         )
-        others = {
-            name: len(calls)
-            for name, calls in found.calls.items()
-            if name != organisation
-        }
-        weights = {**self._weights, "": self._weights.get(organisation, 1.0)}
-        return ahead + count_before(own, others, weights)
+
+    def _get_weight(self, organisation: str) -> float:
+        """Return an organisation's weight."""
+        return self._weights.get(organisation, 1.0)
