--- a/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
@@ -1,7 +1,5 @@
 """Admission of plain calls, by what this gateway knows of the instances."""
 
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
 import trio
@@ -11,72 +9,30 @@
 from ..forwarding.models import ForwardCall
 from ..forwarding.selection import choose_upstream
 from ..forwarding.selection import InstanceSelector
-from ..ports.sampler import InstanceLoad
 from ..routing.instances import ListedInstance
 from ..shares.line import WaitingCall
-from ..shares.line import WaitingLine
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .budgets import earn
-from .budgets import spend
 from .decisions import choose_max_wait_s
-from .decisions import estimate_rate_per_s
 from .decisions import estimate_wait_s
 from .decisions import fits_bounds
 from .decisions import is_hopeless
 from .decisions import promise_return
-from .decisions import update_history
+from .instances import InstanceRooms
+from .lines import UpstreamLine
 from .models import AdmissionAnswer
 from .models import AdmissionRefusal
 from .models import CallOffer
-from .models import InstanceRoom
 from .models import LineHistory
 from .models import NoInstance
 from .models import RetryBudget
 from .models import Started
 from .models import Waiting
-from .rooms import is_open
-from .rooms import is_stalled
-from .rooms import record_acceptance
-from .rooms import record_end
-from .rooms import record_rejection
-from .rooms import record_sent
 
 BUDGET_DETAIL = "the retries of the upstream are used up"
 
 
-@dataclass(slots=True)
-class UpstreamLine:
-    """The calls that wait for an upstream, and its budget of retries.
-
-    Calls waited last at `busy_at`. Refused callers come back for the room up
-    to `promised_until`.
-    """
-
-    budget: RetryBudget
-    history: LineHistory
-    calls: WaitingLine[CallOffer] = field(default_factory=WaitingLine)
-    busy_at: float = float("-inf")
-    promised_until: float = float("-inf")
-
-    def note_use(self, is_busy: bool, now: float) -> None:
-        """Note whether calls wait, or are refused instead."""
-        self.history = update_history(self.history, is_busy, now)
-        if is_busy:
-            self.busy_at = now
-
-    def is_pressed(self, now: float) -> bool:
-        """Return whether calls wait, or did so recently."""
-        return now - self.busy_at < const.PRESSURE_S
-
-    def spend_token(self, may_refuse: bool, now: float) -> bool:
-        """Take a token for a second attempt; False when there is none."""
-        budget = spend(self.budget, may_refuse, now)
-        if budget is not None:
-            self.budget = budget
-        return budget is not None
-
-
 class CallAdmission:
     """Offer calls to instances with room, and keep or refuse the others."""
 
@@ -89,11 +45,10 @@
     ) -> None:
         """Initialize; `rng` spreads offers to instances that were full."""
         self._selector = selector
-        self._health = health
         self._metrics = metrics
         self._rng = rng
         self._lines: dict[str, UpstreamLine] = {}
-        self._rooms: dict[str, InstanceRoom] = {}
+        self.rooms = InstanceRooms(health, metrics, rng)
         self._waiting: dict[CallOffer, tuple[str, WaitingCall[CallOffer]]] = {}
         self._waiting_bytes = 0
         self._has_waiting = trio.Event()
@@ -153,59 +108,25 @@
             self._waiting_bytes -= len(offer.call.body)
             self._lines[upstream].calls.remove(waiting)
 
-    def is_pressed(self, instance: ListedInstance, now: float) -> bool:
-        """Return whether calls wait for an instance's upstream."""
-        line = self._lines.get(instance.upstream)
-        return line is not None and line.is_pressed(now)
+    def may_hedge(self, running_at: list[ListedInstance], now: float) -> bool:
+        """Return whether a call may run twice, by where it runs now.
 
-    def is_stuck(self, instance: ListedInstance, now: float) -> bool:
-        """Return whether an instance seems to answer no calls now."""
-        state = self._health.get_state(instance.name)
-        usual_s = self._find_usual_duration_s(instance.upstream, now)
-        return now < state.avoided_until or is_stalled(
-            self._get_room(instance), usual_s, now
-        )
-
-    def record_sent(self, instance: ListedInstance, now: float) -> None:
-        """Record a call before it is sent to an instance."""
-        in_flight = self._health.get_state(instance.name).in_flight
-        self._rooms[instance.name] = record_sent(
-            self._get_room(instance), in_flight, now
-        )
-
-    def record_response(
-        self,
-        instance: ListedInstance,
-        load: InstanceLoad | None,
-        is_rejected: bool,
-        now: float,
-    ) -> None:
-        """Record that an instance ran a call, or rejected it as full."""
-        room = self._get_room(instance)
-        if not is_rejected:
-            room = record_acceptance(room, load, instance.slots, now)
-        else:
-            state = self._health.get_state(instance.name)
-            room = record_rejection(
-                room,
-                load,
-                state.in_flight - 1,
-                instance.slots,
-                state.mean_duration_s,
-                self._rng.random(),
-                now,
-            )
-            self._metrics.count("offers_rejected")
-        self._rooms[instance.name] = room
+        Under pressure only when nothing is answered there.
+        """
+        for instance in running_at:
+            line = self._lines.get(instance.upstream)
+            if line is None or not line.is_pressed(now):
+                continue
+            found = self._selector.list_instances(instance.upstream, now)
+            if instance in self.rooms.list_answering(found, now):
+                return False
+        return True
 
     def record_end(
         self, instance: ListedInstance, responded: bool, now: float
     ) -> None:
         """Record the end of a call, and use the room that it leaves."""
-        in_flight = self._health.get_state(instance.name).in_flight
-        self._rooms[instance.name] = record_end(
-            self._get_room(instance), in_flight, responded, now
-        )
+        self.rooms.record_end(instance, responded, now)
         if instance.upstream in self._lines:
             self._dispatch(instance.upstream, now)
 
@@ -247,36 +168,18 @@
         self, upstream: str, offer: CallOffer, now: float
     ) -> ListedInstance | None:
         """Return an instance with room for a call."""
-        call = offer.call
-        candidates = self._list_candidates(upstream, call, now)
+        candidates = self._list_candidates(upstream, offer.call, now)
         is_pressed = self._lines[upstream].is_pressed(now)
-        if is_pressed:
-            answering = [i for i in candidates if not self.is_stuck(i, now)]
-            candidates = answering or candidates
-        open_instances = [
-            instance
-            for instance in candidates
-            if is_open(
-                self._get_room(instance),
-                self._health.get_state(instance.name).in_flight,
-                instance.slots,
-                now,
-            )
-        ]
+        found = self.rooms.list_open(candidates, is_pressed, now)
         if offer.hedges:
-            open_instances = [
+            found = [
                 instance
-                for instance in open_instances
+                for instance in found
                 if instance.name not in offer.tried
                 and self._selector.may_hedge_at(instance)
-                and (is_pressed or self._has_free_slot(instance, now))
+                and (is_pressed or self.rooms.has_free_slot(instance, now))
             ]
-        return self._selector.choose_among(open_instances, offer.tried, now)
-
-    def _has_free_slot(self, instance: ListedInstance, now: float) -> bool:
-        """Return whether a call would run at once at an instance."""
-        load = self._health.get_state(instance.name).count_load(now)
-        return load < max(1, instance.slots)
+        return self._selector.choose_among(found, offer.tried, now)
 
     def _list_candidates(
         self, upstream: str, call: ForwardCall, now: float
@@ -316,7 +219,9 @@
             max_wait_s = choose_max_wait_s(
                 call.give_up_at - now,
                 call.route.target_latency_s,
-                self._find_usual_duration_s(upstream, now),
+                self.rooms.find_usual_duration_s(
+                    self._selector.list_instances(upstream, now)
+                ),
                 line.history.is_standing
                 and not line.calls.count_more_urgent(call.route.priority),
             )
@@ -339,7 +244,9 @@
     ) -> AdmissionRefusal:
         """Return a refusal with when its caller finds room."""
         line = self._lines[upstream]
-        rate_per_s = self._estimate_rate_per_s(upstream, now)
+        rate_per_s = self.rooms.estimate_rate_per_s(
+            self._selector.list_instances(upstream, now), now
+        )
         if expected_s is None or rate_per_s is None:
             return AdmissionRefusal(detail, expected_s)
         line.promised_until = promise_return(
@@ -367,8 +274,12 @@
         """Refuse the waiting calls that can't be served in time any more."""
         line = self._lines[upstream].calls
         is_empty = not self._selector.list_instances(upstream, now)
-        rate_per_s = self._estimate_rate_per_s(upstream, now)
-        duration_s = self._find_usual_duration_s(upstream, now)
+        rate_per_s = self.rooms.estimate_rate_per_s(
+            self._selector.list_instances(upstream, now), now
+        )
+        duration_s = self.rooms.find_usual_duration_s(
+            self._selector.list_instances(upstream, now)
+        )
         for waiting, ahead in line.list_ahead():
             offer = waiting.value
             if not offer.may_refuse():
@@ -401,38 +312,16 @@
         ahead = self._lines[upstream].calls.count_ahead(
             call.route.priority, call.organisation or "", call.give_up_at
         )
-        return estimate_wait_s(ahead, self._estimate_rate_per_s(upstream, now))
-
-    def _estimate_rate_per_s(self, upstream: str, now: float) -> float | None:
-        """Return how many of our calls a second an upstream ends."""
-        states = [
-            self._health.get_state(instance.name)
-            for instance in self._selector.list_instances(upstream, now)
-            if not self.is_stuck(instance, now)
-        ]
-        return estimate_rate_per_s(
-            (state.in_flight, state.mean_duration_s) for state in states
+        return estimate_wait_s(
+            ahead,
+            self.rooms.estimate_rate_per_s(
+                self._selector.list_instances(upstream, now), now
+            ),
         )
 
-    def _find_usual_duration_s(self, upstream: str, now: float) -> float:
-        """Return how long a call takes on average, 0 if unknown."""
-        durations_s = [
-            duration_s
-            for duration_s in (
-                self._health.get_state(instance.name).mean_duration_s
-                for instance in self._selector.list_instances(upstream, now)
-            )
-            if duration_s
-        ]
-        return sum(durations_s) / max(1, len(durations_s))
-
     def _get_line(self, upstream: str, now: float) -> UpstreamLine:
         """Return an upstream's line, a new one if there is none."""
         if upstream not in self._lines:
             budget = RetryBudget(const.RETRY_RESERVE, now)
             self._lines[upstream] = UpstreamLine(budget, LineHistory(now))
         return self._lines[upstream]
-
-    def _get_room(self, instance: ListedInstance) -> InstanceRoom:
-        """Return what is known of the room at an instance."""
-        return self._rooms.get(instance.name, InstanceRoom())
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+SERVER_ERRORS: Final = range(500, 600)
 # A hedged attempt starts after this share of the route's target latency
 # without a response, but no earlier than the minimum delay.
 HEDGE_DELAY_SHARE: Final = 0.6
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -179,12 +179,15 @@
             self.limits,
             rng,
         )
+        self.admission = CallAdmission(
+            selector, self.health, self.metrics, rng
+        )
         self.forwarder = Forwarder(
             self._samplers,
             selector,
             self.health,
             self.crashes,
-            CallAdmission(selector, self.health, self.metrics, rng),
+            self.admission,
             self.metrics,
         )
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
@@ -278,6 +281,7 @@
                 await self._confirm_retirements()
                 names = set(self.directory.instances)
                 self._samplers.retain_only(names)
+                self.admission.rooms.retain_only(names)
                 self.health.retain_only(names)
                 with trio.move_on_after(const.POOL_CHECK_INTERVAL_S):
                     await self._table_changed.wait()
