--- a/features/support/crowd_cases.py
+++ b/features/support/crowd_cases.py
@@ -8,14 +8,13 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
-from pistachiospar_standins.fakes.gateway_fleet import HOST
-from pistachiospar_standins.fakes.gateway_fleet import PLAIN_PREFIX
 import trio
 
+from .gateway_cases import send_plain
+
 CROWD_S = 10.0
 CROWD_PER_S = 180.0
 USUAL_PER_S = 7.0
@@ -143,21 +142,11 @@
         self, number: int, call_id: str, ended: list[CallRecord]
     ) -> None:
         """Send a call and record how it ended."""
-        request = HttpRequest(
-            "POST",
-            PLAIN_PREFIX + "x",
-            "",
-            {
-                "host": HOST,
-                "request-id": call_id,
-                "deadline-ms": str(int(DEADLINE_S * 1000)),
-            },
-            call_id.encode(),
-            target=PLAIN_PREFIX + "x",
-        )
         started_at = trio.current_time()
-        name = f"g{number % self.fleet.plan.gateways}"
-        response = await self.fleet.send_request(name, request)
+        gateway = f"g{number % self.fleet.plan.gateways}"
+        response = await send_plain(
+            self.fleet, gateway, call_id, int(DEADLINE_S * 1000)
+        )
         took_s = trio.current_time() - started_at
         if response is None:
             ended.append(CallRecord(call_id, 0, took_s, None))
--- a/features/support/gateway_cases.py
+++ b/features/support/gateway_cases.py
@@ -34,6 +34,16 @@
 
     The status is 0 when there was no response.
     """
+    started_at = trio.current_time()
+    response = await send_plain(fleet, "g0", call_id, deadline_ms)
+    took_s = trio.current_time() - started_at
+    return (response.status if response else 0), took_s
+
+
+async def send_plain(
+    fleet: GatewayFleet, gateway: str, call_id: str, deadline_ms: int
+) -> ResponseRecorder | None:
+    """Send a plain call to a gateway; None without a response."""
     request = HttpRequest(
         "POST",
         PLAIN_PREFIX + "x",
@@ -43,13 +53,10 @@
             "request-id": call_id,
             "deadline-ms": str(deadline_ms),
         },
-        b"body",
+        call_id.encode(),
         target=PLAIN_PREFIX + "x",
     )
-    started_at = trio.current_time()
-    response = await fleet.send_request("g0", request)
-    took_s = trio.current_time() - started_at
-    return (response.status if response else 0), took_s
+    return await fleet.send_request(gateway, request)
 
 
 async def check_failed_sampler(fleet: GatewayFleet) -> bool:
--- a/packages/pistachiospar/src/pistachiospar/forwarding/attempt_loop.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/attempt_loop.py
@@ -84,12 +84,7 @@
                     case _:
                         if attempts.started >= call.max_attempts:
                             return attempts.server_error
-                        if (
-                            attempts.may_refuse()
-                            and not self._selector.may_wait(
-                                call, attempts.permit_wait_until
-                            )
-                        ):
+                        if self._has_no_prospect(attempts):
                             return None
                         await trio.sleep(const.RETRY_DELAY_S)
                         continue
@@ -113,12 +108,7 @@
                     attempts.refusals += 1
                     attempts.detail = outcome.detail
                     if attempts.refusals >= const.MAX_REFUSALS:
-                        if (
-                            attempts.may_refuse()
-                            and not self._selector.may_wait(
-                                call, attempts.permit_wait_until
-                            )
-                        ):
+                        if self._has_no_prospect(attempts):
                             return None
                         await trio.sleep(const.RETRY_DELAY_S)
                         attempts.tried.clear()
@@ -128,6 +118,12 @@
                     if not call.route.is_repeatable:
                         return outcome
 
+    def _has_no_prospect(self, attempts: CallAttempts) -> bool:
+        """Return whether a call that wasn't run is to be refused now."""
+        return attempts.may_refuse() and not self._selector.may_wait(
+            attempts.call, attempts.permit_wait_until
+        )
+
     def _accept_refusal(
         self, attempts: CallAttempts, refusal: AdmissionRefusal
     ) -> bool:
