Merge admission of plain calls and shares of full upstreams

Cause: every gateway sent on whatever came; instances rejected what did not fit, calls were sent again and held until their deadlines.

--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -283,6 +283,8 @@
         sampler = FakeSampler(name, self.plan.slots, software=software)
         if upstream == POOL:
             sampler.versions = dict.fromkeys(self.plan.models, 1)
+        else:
+            sampler.queue = self.plan.queue
         self.cluster.samplers[name] = sampler
         self.write_instance(name, upstream)
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
@@ -33,9 +33,9 @@
     """The size and settings of a small fleet of gateways.
 
     `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream, `tenants` the organisations and their keys.
-    `lost_count_share` is the share of the lost replies to
-    counts for the usage report.
+    plain upstream, whose instances queue `queue` calls; `tenants` has the
+    organisations and their keys. `lost_count_share` is the share of the lost
+    replies to counts for the usage report.
     """
 
     gateways: int = 3
@@ -43,6 +43,7 @@
     apps: int = 2
     models: tuple[str, ...] = ("m0", "m1")
     slots: int = 4
+    queue: int = 0
     seed: int = 0
     max_attempts: int = 3
     single_version: bool = False
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -4,8 +4,8 @@
 
 import trio
 
+from ..admission.coordinator import CallAdmission
 from . import const
-from ..crashes.const import MAX_CRASHES_PER_CALL
 from ..crashes.coordinator import CrashWatch
 from ..crashes.table import CrashAssessment
 from ..crashes.table import RequestStatus
@@ -18,18 +18,21 @@
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .attempt_loop import AttemptLoop
+from .attempts import AttemptEvent
 from .attempts import CallAttempts
 from .health import InstanceHealth
+from .health import OpenCall
 from .models import CallFailure
 from .models import CallOutcome
 from .models import CallResponse
 from .models import FailureKind
 from .models import ForwardCall
-from .selection import choose_permit_wait_s
 from .selection import InstanceSelector
 
 SUCCESSES = range(200, 300)
-SERVER_ERRORS = range(500, 600)
+# With these, an instance that didn't run a call says that it is full.
+FULL_STATUSES = (429, 503)
 
 
 class Forwarder:
@@ -41,6 +44,7 @@
         selector: InstanceSelector,
         health: InstanceHealth,
         crashes: CrashWatch,
+        admission: CallAdmission,
         metrics: Metrics,
     ) -> None:
         """Initialize; `selector` picks the instances."""
@@ -48,6 +52,10 @@
         self.selector = selector
         self._health = health
         self._crashes = crashes
+        self._admission = admission
+        self._loop = AttemptLoop(
+            selector, crashes, admission, self._start_attempt
+        )
         self._metrics = metrics
         self._nursery: trio.Nursery | None = None
 
@@ -59,6 +67,7 @@
         """Run the attempts, including those whose call has ended."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._admission.run)
             task_status.started()
             await trio.sleep_forever()
 
@@ -77,21 +86,23 @@
             is_trial = assessment.status is RequestStatus.TRIAL
             if assessment.status is not RequestStatus.FREE:
                 call = replace(call, hedged=False)
-        sender, outcomes = trio.open_memory_channel[CallOutcome](64)
+        sender, outcomes = trio.open_memory_channel[AttemptEvent](64)
         attempts = CallAttempts(call, sender, is_trial=is_trial)
         outcome: CallOutcome | None = None
         try:
             with trio.move_on_at(call.give_up_at):
-                outcome = await self._run_attempts(attempts, outcomes)
+                outcome = await self._loop.run(attempts, outcomes)
         except trio.Cancelled:
             attempts.set_deadline(float("-inf"))
             raise
+        finally:
+            self._loop.withdraw(attempts)
         attempts.set_deadline(call.give_up_at + const.ATTEMPT_GRACE_S)
         if outcome is not None:
             return outcome
         if attempts.server_error is not None:
             return attempts.server_error
-        suspension = self._find_suspension(attempts)
+        suspension = self._loop.find_suspension(attempts)
         if suspension is not None and attempts.may_refuse():
             return suspend_call(call, suspension)
         may_have_run = attempts.may_have_run or attempts.running > 0
@@ -108,165 +119,65 @@
             fault=kind.value,
             detail=attempts.detail,
         )
-        return CallFailure(
-            kind, attempts.detail, self.selector.estimate_wait_s(call.route)
-        )
-
-    async def _run_attempts(
-        self,
-        attempts: CallAttempts,
-        outcomes: trio.MemoryReceiveChannel[CallOutcome],
-    ) -> CallOutcome | None:
-        """Start attempts until one decides the call.
-
-        None when the call is to be refused or no attempt is left.
-        """
-        call = attempts.call
-        remaining_s = call.give_up_at - trio.current_time()
-        refuse_at = (
-            trio.current_time() + remaining_s * const.REFUSE_AFTER_SHARE
-        )
-        attempts.permit_wait_until = (
-            trio.current_time() + choose_permit_wait_s(call)
-        )
-        while True:
-            if attempts.may_refuse() and trio.current_time() >= refuse_at:
-                return None
-            if not attempts.running and self._has_to_stop(attempts):
-                return attempts.server_error
-            if attempts.running == 0 or self._may_hedge(attempts):
-                started = self._start_attempt(attempts)
-                if not started and attempts.running == 0:
-                    if attempts.started >= call.max_attempts:
-                        return attempts.server_error
-                    if attempts.may_refuse() and not self.selector.may_wait(
-                        call, attempts.permit_wait_until
-                    ):
-                        return None
-                    await trio.sleep(const.RETRY_DELAY_S)
-                    continue
-            outcome = await self._wait_for_outcome(attempts, outcomes)
-            if outcome is None:
-                continue
-            attempts.running -= 1
-            match outcome:
-                case CallResponse(status=status) if (
-                    status in SERVER_ERRORS and call.route.is_repeatable
-                ):
-                    attempts.server_error = outcome
-                case CallResponse():
-                    return outcome
-                case CallFailure(FailureKind.NOT_RUN):
-                    attempts.started -= 1
-                    attempts.refusals += 1
-                    attempts.detail = outcome.detail
-                    if attempts.refusals >= const.MAX_REFUSALS:
-                        if (
-                            attempts.may_refuse()
-                            and not self.selector.may_wait(
-                                call, attempts.permit_wait_until
-                            )
-                        ):
-                            return None
-                        await trio.sleep(const.RETRY_DELAY_S)
-                        attempts.tried.clear()
-                case CallFailure(FailureKind.LOST):
-                    attempts.may_have_run = True
-                    attempts.detail = outcome.detail
-                    if not call.route.is_repeatable:
-                        return outcome
-
-    def _has_to_stop(self, attempts: CallAttempts) -> bool:
-        """Return whether a call crashed too much to be sent on."""
-        return (
-            attempts.crashes >= MAX_CRASHES_PER_CALL
-            or self._find_suspension(attempts) is not None
-        )
-
-    def _find_suspension(
-        self, attempts: CallAttempts
-    ) -> CrashAssessment | None:
-        """Return why a call may not be sent on; None when it may."""
-        if not attempts.call.fingerprint or attempts.is_trial:
-            return None
-        assessment = self._crashes.find_assessment(attempts.call.fingerprint)
-        if assessment.status in (RequestStatus.FREE, RequestStatus.SUSPECT):
-            return None
-        return assessment
-
-    def _may_hedge(self, attempts: CallAttempts) -> bool:
-        """Return whether a further attempt may run in parallel."""
-        call = attempts.call
-        return (
-            call.hedged
-            and not attempts.crashes
-            and call.route.is_repeatable
-            and attempts.started < call.max_attempts
-            and attempts.started > 0
-        )
-
-    async def _wait_for_outcome(
-        self,
-        attempts: CallAttempts,
-        outcomes: trio.MemoryReceiveChannel[CallOutcome],
-    ) -> CallOutcome | None:
-        """Return an attempt's outcome; None when a hedge is due first."""
-        if (
-            not attempts.call.hedged
-            or attempts.started >= attempts.call.max_attempts
-        ):
-            return await outcomes.receive()
-        delay_s = (
-            attempts.call.route.target_latency_s * const.HEDGE_DELAY_SHARE
-        )
-        with trio.move_on_after(max(const.HEDGE_MIN_DELAY_S, delay_s)):
-            return await outcomes.receive()
-        return None
-
-    def _start_attempt(self, attempts: CallAttempts) -> bool:
-        """Start one attempt; False when no instance or attempt is left.
+        expected_s = attempts.expected_s
+        if expected_s is None:
+            expected_s = self.selector.estimate_wait_s(call.route)
+        return CallFailure(kind, attempts.detail, expected_s)
 
-        A hedge never goes to an instance that was tried before or that named
-        a limit.
-        """
-        if attempts.started >= attempts.call.max_attempts:
-            return False
-        now = trio.current_time()
-        instance = self.selector.pick_instance(
-            attempts.call, attempts.tried, now
-        )
-        if instance is None:
-            return False
-        if attempts.running and (
-            instance.name in attempts.tried
-            or not self.selector.may_hedge_at(instance)
-        ):
-            return False
+    def _start_attempt(
+        self, attempts: CallAttempts, instance: ListedInstance
+    ) -> None:
+        """Start one attempt at an instance."""
         attempts.tried.add(instance.name)
         attempts.started += 1
         attempts.running += 1
+        attempts.running_at.append(instance)
+        now = trio.current_time()
+        self._admission.rooms.record_sent(instance, now)
+        # Calls that start before the task runs count already.
+        number, open_call = self._health.start_call(
+            instance.name,
+            instance.slots,
+            attempts.call.classify(instance.upstream),
+            now,
+        )
         assert self._nursery is not None, "run() is not running"
         scope = trio.CancelScope()
         attempts.cancel_scopes.append(scope)
-        self._nursery.start_soon(self._run_attempt, attempts, instance, scope)
-        return True
+        self._nursery.start_soon(
+            self._run_attempt, attempts, instance, scope, number, open_call
+        )
 
     async def _run_attempt(
         self,
         attempts: CallAttempts,
         instance: ListedInstance,
         scope: trio.CancelScope,
+        number: int,
+        open_call: OpenCall,
     ) -> None:
         """Call an instance and send the outcome to the waiting call."""
         outcome: CallOutcome = CallFailure(
             FailureKind.LOST, "attempt cancelled"
         )
-        with scope:
-            outcome = await self._call_instance(attempts, instance)
+        try:
+            with scope:
+                outcome = await self._call_instance(
+                    attempts, instance, open_call
+                )
+        finally:
+            self._health.end_call(instance.name, number)
+            attempts.running_at.remove(instance)
         attempts.outcome_sender.send_nowait(outcome)
+        self._admission.record_end(
+            instance, isinstance(outcome, CallResponse), trio.current_time()
+        )
 
     async def _call_instance(
-        self, attempts: CallAttempts, instance: ListedInstance
+        self,
+        attempts: CallAttempts,
+        instance: ListedInstance,
+        open_call: OpenCall,
     ) -> CallOutcome:
         """Call an instance, and record load, duration and failures."""
         call = attempts.call
@@ -285,18 +196,8 @@
         sent = True
         metered_at_s = call.meter.record_sent() if call.meter else 0.0
         try:
-            with self._health.track_call(
-                instance.name,
-                instance.slots,
-                call.classify(instance.upstream),
-                started_at,
-            ) as open_call:
-                async with self._samplers.call(
-                    instance, sampler_call
-                ) as response:
-                    outcome = await self._read_response(
-                        response, instance.name
-                    )
+            async with self._samplers.call(instance, sampler_call) as response:
+                outcome = await self._read_response(response, instance)
         except UpstreamLimitError as error:
             if call.meter:
                 call.meter.record_refused(metered_at_s)
@@ -313,6 +214,7 @@
         match outcome:
             case CallFailure(FailureKind.NOT_RUN) if call.meter:
                 call.meter.record_refused(metered_at_s)
+        attempts.arrivals += sent
         now = trio.current_time()
         if isinstance(outcome, CallResponse):
             if call.fingerprint:
@@ -329,12 +231,18 @@
         return outcome
 
     async def _read_response(
-        self, response: SamplerResponse, name: str
+        self, response: SamplerResponse, instance: ListedInstance
     ) -> CallOutcome:
         """Read a response; a 2xx that is encoded or not signed is lost."""
+        name = instance.name
         now = trio.current_time()
         self._health.record_load(name, response.load, now)
         body = await response.read_body()
+        is_rejected = response.not_run and response.status in FULL_STATUSES
+        if is_rejected or not response.not_run:
+            self._admission.rooms.record_response(
+                instance, response.load, is_rejected, trio.current_time()
+            )
         if response.not_run:
             return CallFailure(
                 FailureKind.NOT_RUN, f"{name}: status {response.status}"
@@ -361,7 +269,9 @@
     ) -> None:
         """Update health, metrics and log after an attempt."""
         match outcome:
-            case CallResponse(status=status) if status not in SERVER_ERRORS:
+            case CallResponse(status=status) if (
+                status not in const.SERVER_ERRORS
+            ):
                 self._health.record_response(name, duration_s, None, now)
             case CallResponse():
                 self._metrics.count("upstream_errors")
--- a/packages/pistachiospar/src/pistachiospar/forwarding/health.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/health.py
@@ -147,6 +147,16 @@
         self, name: str, slots: int, call_class: CallClass, now: float
     ) -> Iterator[OpenCall]:
         """Count a call as in flight at an instance."""
+        number, call = self.start_call(name, slots, call_class, now)
+        try:
+            yield call
+        finally:
+            self.end_call(name, number)
+
+    def start_call(
+        self, name: str, slots: int, call_class: CallClass, now: float
+    ) -> tuple[int, OpenCall]:
+        """Count a call as in flight until `end_call`; return its number."""
         state = self.get_state(name)
         estimate = self.costs.estimate(call_class, now)
         is_queued = state.count_load(now) >= slots
@@ -155,11 +165,13 @@
         number = self._sent_calls
         state.calls[number] = call
         state.in_flight += 1
-        try:
-            yield call
-        finally:
-            state.in_flight -= 1
-            del state.calls[number]
+        return number, call
+
+    def end_call(self, name: str, number: int) -> None:
+        """Count a call as in flight no more."""
+        state = self.get_state(name)
+        state.in_flight -= 1
+        del state.calls[number]
 
     def record_cost(self, name: str, call: OpenCall, now: float) -> None:
         """Record what a call cost that ran to its end at an instance.
--- a/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
@@ -108,17 +108,51 @@
             upstream = choose_upstream(route, self._rng)
         else:
             upstream = origin.upstream
-        open_instances = [
+        open_instances = self.list_unlimited(
+            upstream, route.priority, now, origin
+        )
+        return self.choose_among(call, open_instances, tried, now)
+
+    def list_instances(
+        self, upstream: str, now: float
+    ) -> list[ListedInstance]:
+        """Return an upstream's instances."""
+        return self._find_instances(upstream, now)
+
+    def list_unlimited(
+        self,
+        upstream: str,
+        priority: int,
+        now: float,
+        origin: SoftwareOrigin | None = None,
+    ) -> list[ListedInstance]:
+        """Return the instances whose limit allows a call now."""
+        return [
             instance
             for instance in self._list_instances(upstream, origin, now)
-            if not self._limits.find_wait_s(instance, route.priority, now)
+            if not self._limits.find_wait_s(instance, priority, now)
         ]
+
+    def choose_among(
+        self,
+        call: ForwardCall,
+        open_instances: list[ListedInstance],
+        tried: set[str],
+        now: float,
+    ) -> ListedInstance | None:
+        """Return one of an upstream's instances for a call, None without any.
+
+        All instances are of the same upstream.
+        """
+        if not open_instances:
+            return None
         limited = {
             instance.name
             for instance in open_instances
             if self._limits.find_limit(instance) is not None
         }
-        estimate = self._health.costs.estimate(call.classify(upstream), now)
+        call_class = call.classify(open_instances[0].upstream)
+        estimate = self._health.costs.estimate(call_class, now)
         return choose_instance(
             open_instances,
             self._health,
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -7,6 +7,7 @@
 from result import Ok
 import trio
 
+from ..admission.coordinator import CallAdmission
 from . import const
 from ..crashes.const import PREFIX_CLEARED
 from ..crashes.const import PREFIX_RECORDS
@@ -198,11 +199,15 @@
             self.limits,
             rng,
         )
+        self.admission = CallAdmission(
+            selector, self.health, self.metrics, rng
+        )
         self.forwarder = Forwarder(
             self._samplers,
             selector,
             self.health,
             self.crashes,
+            self.admission,
             self.metrics,
         )
         self.duties = GatewayDuties(
@@ -321,6 +326,7 @@
                 await self._confirm_retirements()
                 names = set(self.directory.instances)
                 self._samplers.retain_only(names)
+                self.admission.rooms.retain_only(names)
                 self.health.retain_only(names)
                 with trio.move_on_after(const.POOL_CHECK_INTERVAL_S):
                     await self._table_changed.wait()
