Keep deployments closed without organisations; serve unweighted splits

Cause: an empty list of organisations counted as none, so that removing the last one let calls through without a key. A split whose weights add up to 0 raised ValueError for each call.

Change: only an absent or null list stands for none; with an empty one no key is known (401). The fakes' plan tells both apart. Upstreams of an unweighted split are used alike.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -86,6 +86,7 @@
       | refused callers come back later in a long outage               |
       | refused callers come back soon without an outage               |
       | refused callers come back at different times                   |
+      | a split without weights uses all of its upstreams              |
       | a retry goes to another instance                               |
       | a complete group is committed at once                          |
       | an incomplete group waits for the rest                         |
--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -62,6 +62,7 @@
       | plain calls                                |
       | streams                                    |
       | no organisations                           |
+      | the last organisation removed              |
       | an unknown route                           |
       | a removed key                              |
       | a removed key, gateways restarted          |
--- a/features/support/call_policies.py
+++ b/features/support/call_policies.py
@@ -11,9 +11,13 @@
 from pistachiospar.forwarding.choice import choose_instance
 from pistachiospar.forwarding.choice import estimate_loads
 from pistachiospar.forwarding.health import InstanceHealth
+from pistachiospar.forwarding.selection import choose_upstream
 from pistachiospar.gateway.retry_after import choose_retry_after_s
 from pistachiospar.ports.sampler import InstanceLoad
 from pistachiospar.routing.instances import ListedInstance
+from pistachiospar.routing.models import CallKind
+from pistachiospar.routing.models import Route
+from pistachiospar.routing.models import UpstreamShare
 
 NOW = 100.0
 CALL = CallClass("u", "r")
@@ -171,6 +175,15 @@
 
 SLOW_LOAD = InstanceLoad(1, 0, 4, 2.5)
 
+
+def choose_unweighted() -> set[str]:
+    """Return the upstreams that a split of weights 0 sends calls to."""
+    shares = tuple(UpstreamShare(name, 0.0) for name in ("u0", "u1"))
+    route = Route("r", "h", "/", CallKind.SAFE, shares, 1.0, 0.1, 1, 1)
+    rng = Random(1)
+    return {choose_upstream(route, rng) for _ in range(50)}
+
+
 CASES: dict[str, tuple[Callable[[], object], object]] = {
     "a plain call goes to the instance with the least load": (
         lambda: choose_for_call({"a": 3, "b": 1}, set()),
@@ -300,6 +313,10 @@
         lambda: count_distinct_waits() > 10,
         True,
     ),
+    "a split without weights uses all of its upstreams": (
+        choose_unweighted,
+        {"u0", "u1"},
+    ),
     "a retry goes to another instance": (
         lambda: choose_for_call({"a": 3, "b": 1}, {"b"}),
         "a",
--- a/features/support/organisation_cases.py
+++ b/features/support/organisation_cases.py
@@ -74,7 +74,7 @@
 
 
 def change_tenants(
-    fleet: GatewayFleet, tenants: list[dict[str, object]]
+    fleet: GatewayFleet, tenants: list[dict[str, object]] | None
 ) -> None:
     """Put other organisations into the configuration."""
     fleet.plan.tenants = tenants
@@ -108,12 +108,21 @@
 
 async def check_no_organisations(fleet: GatewayFleet) -> list[str]:
     """Check that calls need no key without organisations."""
-    change_tenants(fleet, [])
+    change_tenants(fleet, None)
     await trio.sleep(APPLY_S)
     found = expect("statuses", await send_all(fleet, None), {200})
     return found + expect("runs", list_runs(fleet), {(None, 1)})
 
 
+async def check_last_organisation(fleet: GatewayFleet) -> list[str]:
+    """Check that removing the last organisation opens nothing."""
+    change_tenants(fleet, [])
+    await trio.sleep(APPLY_S)
+    responses = [await send(fleet, key) for key in (None, OLD_KEY)]
+    found = expect("statuses", [r.status for r in responses], [401, 401])
+    return found + expect("runs", list_runs(fleet), set())
+
+
 async def check_unknown_route(fleet: GatewayFleet) -> list[str]:
     """Check that an unknown route is told before a missing key."""
     response = await send(fleet, None, path="/nowhere")
@@ -222,7 +231,7 @@
 
 async def check_earlier_submission(fleet: GatewayFleet) -> list[str]:
     """Check that a submission without organisation is open to any key."""
-    change_tenants(fleet, [])
+    change_tenants(fleet, None)
     await trio.sleep(APPLY_S)
     found = expect("status", await submit(fleet, None, "sub"), 202)
     change_tenants(fleet, TENANTS)
@@ -330,6 +339,7 @@
     "plain calls": check_plain,
     "streams": check_streams,
     "no organisations": check_no_organisations,
+    "the last organisation removed": check_last_organisation,
     "an unknown route": check_unknown_route,
     "a removed key": check_removed_key,
     "a removed key, gateways restarted": check_restarted,
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
@@ -33,9 +33,9 @@
     """The size and settings of a small fleet of gateways.
 
     `samplers` and `apps` are the numbers of instances of the pool and of the
-    plain upstream, whose instances queue `queue` calls; `tenants` has the
-    organisations and their keys. `lost_count_share` is the share of the lost
-    replies to counts for the usage report.
+    plain upstream, whose instances queue `queue` calls. `tenants` has the
+    organisations and their keys, if there are any. `lost_count_share` is the
+    share of the lost replies to counts for the usage report.
     """
 
     gateways: int = 3
@@ -51,7 +51,7 @@
     result_retention_s: float = 120.0
     resumable: bool = True
     is_first_start: bool = False
-    tenants: list[dict[str, object]] = field(default_factory=list)
+    tenants: list[dict[str, object]] | None = None
     public_routes: tuple[str, ...] = ()
     key_rules: KeyRules = field(default_factory=KeyRules)
     duties: DutySettings | None = None
--- a/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/selection.py
@@ -189,6 +189,9 @@
     if len(route.shares) == 1:
         return route.shares[0].upstream
     weights = [share.weight for share in route.shares]
+    if sum(weights) <= 0:
+        # The operator's weights say nothing then; none of them is preferred.
+        return rng.choice(route.shares).upstream
     return rng.choices(route.shares, weights)[0].upstream
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/organisations.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/organisations.py
@@ -95,7 +95,10 @@
 
 @lru_cache(maxsize=1)
 def read_organisations(encoded: bytes) -> OrganisationTable | None:
-    """Read a concealed list of organisations; None without any.
+    """Read a concealed list of organisations; None without a list.
+
+    With an empty one no key is known: removing the last organisation must
+    not open the deployment to calls without a key.
 
     Raises MsgspecError, and ValueError for an invalid name or digest.
     Entries of the same name are one organisation.
@@ -104,7 +107,9 @@
     by_name: dict[str, Organisation] = {}
     by_digest: dict[str, Organisation] = {}
     ambiguous: set[str] = set()
-    for number, tenant in enumerate(tenants or []):
+    if tenants is None:
+        return None
+    for number, tenant in enumerate(tenants):
         name = tenant.name
         if not _is_header_text(name):
             raise ValueError(
@@ -124,7 +129,7 @@
                 ambiguous.add(digest)
     for digest in ambiguous:
         del by_digest[digest]
-    return OrganisationTable(by_name, by_digest) if by_name else None
+    return OrganisationTable(by_name, by_digest)
 
 
 def _conceal_tenant(tenant: dict[str, Any]) -> None:
