--- a/features/support/submission_checks.py
+++ b/features/support/submission_checks.py
@@ -7,8 +7,8 @@
 from pistachiospar.submissions.models import Item
 from pistachiospar.submissions.models import Submission
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
+from pistachiospar_standins.fakes.sampler_records import make_stamp
 from pistachiospar_standins.fakes.samplers import make_output
-from pistachiospar_standins.fakes.samplers import make_stamp
 
 CANCEL_TIMEOUT_S = 3.0
 
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/sampler_records.py
@@ -120,6 +120,13 @@
     body: bytes
 
 
+def make_load(
+    queue: int, running: int, waiting: int, slots: int
+) -> InstanceLoad | None:
+    """Return an instance's load; None unless it has a queue."""
+    return InstanceLoad(running, waiting, slots) if queue else None
+
+
 class FakeResponse:
     """The response to one call."""
 
@@ -156,3 +163,8 @@
         assert self._events is not None
         async for event in self._events:
             yield event
+
+
+def make_stamp(call_id: str) -> str:
+    """Return the signature of an instance's response."""
+    return f"signed-{call_id}"
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/samplers.py
@@ -32,6 +32,8 @@
 from .sampler_records import CrashRecord
 from .sampler_records import EVENT_INTERVAL_S
 from .sampler_records import FakeResponse
+from .sampler_records import make_load
+from .sampler_records import make_stamp
 from .sampler_records import OrderRecord
 from .sampler_records import RunRecord
 from .sampler_records import SamplerFaults
@@ -75,6 +77,11 @@
     loading: tuple[float, LoadOrder] | None = None
     delayed_orders: list[tuple[float, LoadOrder]] = field(default_factory=list)
 
+    @property
+    def load(self) -> InstanceLoad | None:
+        """The load that responses tell."""
+        return make_load(self.queue, self.running, self.waiting, self.slots)
+
     def apply_due_orders(self, now: float) -> None:
         """Apply the delayed orders and finish the load that are due."""
         for due_at, order in list(self.delayed_orders):
@@ -115,18 +122,6 @@
     return [f"{item}.{number}" for number in range(1, count + 1)]
 
 
-def _make_load(sampler: FakeSampler) -> InstanceLoad | None:
-    """Return an instance's load; None unless it has a queue."""
-    if not sampler.queue:
-        return None
-    return InstanceLoad(sampler.running, sampler.waiting, sampler.slots)
-
-
-def make_stamp(call_id: str) -> str:
-    """Return the signature of an instance's response."""
-    return f"signed-{call_id}"
-
-
 class SamplerCluster:
     """All instances and the calls and orders that they received.
 
@@ -190,7 +185,7 @@
             and sampler.waiting >= sampler.queue
         ):
             self._report_limit(sampler, instance, sent_at)
-            yield FakeResponse(503, not_run=True, load=_make_load(sampler))
+            yield FakeResponse(503, not_run=True, load=sampler.load)
             return
         self._connected.add(sampler.name)
         await self._wait_for_slot(sampler)
@@ -328,8 +323,7 @@
             self._maybe_interrupt(sampler)
             body = b"answer to " + call.body
             stamp = make_stamp(call.request_id)
-            load = _make_load(sampler)
-            return FakeResponse(200, body, stamp=stamp, load=load)
+            return FakeResponse(200, body, stamp=stamp, load=sampler.load)
         model = call.target.split("/")[2]
         loading = sampler.loading
         if loading is not None and loading[1].model == model:
