Soak organisations, a removed key and usage reports

Cause: the soak had no organisations and no duty, so that real processes under faults were never checked for either.

Change: all calls bring a key; runs must be under its organisation, scoring calls under none, and no key may reach a sampler. At the end an organisation is removed and each gateway is called with its key and one that was never held. Usage reports go to a stand-in: no window may have two values, no fence two holders.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,7 +9,8 @@
 resets and refuses connections; instances crash, cut streams and slow down.
 What callers and instances saw is checked as in features/submissions.feature.
 The samplers have two software versions; callers whose streams break off resume
-them at any gateway.
+them at any gateway. Calls run under their organisation only; a key that was
+removed, or never held, is refused at the end; usage reports never differ.
 
 With --series, signals, restarts and changes of the configuration hit the same
 gateway one after the other and overlap, and callers use their connections
@@ -40,6 +41,7 @@
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.server import HttpServer
+from pistachiospar_standins.fakes.cloud import FakeCloud
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
 from pistachiospar_standins.fakes.recorders import ResponseRecorder
@@ -48,8 +50,16 @@
 import trio
 
 from .soak_callers import KeptConnections
+from .soak_duties import DutyHandler
+from .soak_duties import find_duty_violations
+from .soak_duties import WINDOW_S
 from .soak_faults import FAULTS
 from .soak_faults import SERIES_FAULTS
+from .soak_keys import AUTHORIZATION
+from .soak_keys import find_key_violations
+from .soak_keys import probe_keys
+from .soak_keys import remove_organisation
+from .soak_keys import TENANTS
 from .soak_proxy import ProxyFaults
 from .soak_proxy import StoreProxy
 from .soak_streams import make_stream_output
@@ -86,6 +96,8 @@
         self.faults = {f"g{n}": ProxyFaults() for n in range(plan.gateways)}
         self._addresses: dict[str, Address] = {}
         self.kept = KeptConnections()
+        self.cloud = FakeCloud(self.rng)
+        self._cloud_address: Address | None = None
         self.streams = StreamCallers(self._addresses, self.rng)
         self.cluster.make_output = make_stream_output
         self._folder = folder
@@ -100,6 +112,10 @@
             store_address = await _serve_on_loopback(
                 nursery, store.handle_connection
             )
+            self._cloud_address = await _serve_on_loopback(
+                nursery,
+                HttpServer(DutyHandler(self.cloud).handle).handle_connection,
+            )
             self.write_configuration()
             for kind, count in (("s", 4), ("a", 2)):
                 for number in range(count):
@@ -151,21 +167,24 @@
     ) -> ResponseRecorder | None:
         """Send a request over HTTP; None when no response came in time."""
         target = request.path + (f"?{request.query}" if request.query else "")
+        # A request may bring a key of its own.
+        headers = {AUTHORIZATION[0].lower(): AUTHORIZATION[1]}
+        headers.update(request.headers)
         pool = HttpPool(self._addresses[gateway], 0.5)
         try:
             with trio.fail_after(timeout_s):
                 response = await pool.fetch(
                     request.method,
                     target,
-                    list(request.headers.items()),
+                    list(headers.items()),
                     request.body,
                     new_connection=True,
                 )
         except (HttpError, trio.TooSlowError):
             return None
         recorder = ResponseRecorder()
-        headers = list(response.headers.items())
-        await recorder.send_response(response.status, headers, response.body)
+        sent = list(response.headers.items())
+        await recorder.send_response(response.status, sent, response.body)
         return recorder
 
     async def _serve_sampler(self, nursery: trio.Nursery, name: str) -> None:
@@ -194,6 +213,11 @@
                 },
                 "internalPorts": [7003, 7010],
                 "platform": {"address": str(store)},
+                "cloud": {
+                    "address": str(self._cloud_address),
+                    "duties": ["usage"],
+                },
+                "bounds": {"reportWindowS": WINDOW_S},
             }
         )
         (self._folder / f"{name}.yaml").write_bytes(text)
@@ -264,7 +288,12 @@
     """Run trainers under faults, then check what they saw."""
     rng = Random(seed)
     run = ScenarioRun(seed)
-    plan = GatewayPlan(gateways=gateways, seed=seed)
+    plan = GatewayPlan(
+        gateways=gateways,
+        seed=seed,
+        tenants=TENANTS,
+        public_routes=("score",),
+    )
     fleet = SoakFleet(plan, folder)
     async with fleet.serve():
         async with trio.open_nursery() as nursery:
@@ -284,11 +313,16 @@
             sampler.faults.down = False
             sampler.faults.slow_factor = 1.0
             sampler.faults.truncated_share = 0.0
+        remove_organisation(fleet)
         await trio.sleep(SETTLE_DELAY_S)
+        run.violations.extend(await probe_keys(fleet))
         for history in run.histories:
             await read_all_results(fleet, history, rng)
             run.violations.extend(check_submission(fleet, history))
         run.violations.extend(check_load_orders(fleet))
+        run.violations.extend(find_key_violations(fleet.cluster.runs))
+        run.violations.extend(find_duty_violations(fleet.cloud.arrivals))
+        run.faults.append(f"{len(fleet.cloud.arrivals)} usage reports")
         run.violations.extend(fleet.kept.find_violations(fleet.cluster.runs))
         run.violations.extend(
             fleet.streams.find_violations(fleet.cluster.generated_software)
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -12,6 +12,8 @@
 from pistachiospar_standins.fakes.samplers import RunRecord
 import trio
 
+from .soak_keys import AUTHORIZATION
+
 CALL_INTERVAL_S = 0.1
 # A route's time is 2 s.
 CALL_TIMEOUT_S = 4.0
@@ -58,6 +60,7 @@
                 ("Host", HOST),
                 ("Request-Id", call_id),
                 ("Deadline-Ms", "2000"),
+                AUTHORIZATION,
             ]
             try:
                 with trio.fail_after(CALL_TIMEOUT_S):
--- a/bench/soak_streams.py
+++ b/bench/soak_streams.py
@@ -16,6 +16,8 @@
 from pistachiospar_standins.fakes.samplers import make_output
 import trio
 
+from .soak_keys import AUTHORIZATION
+
 SEPARATOR = "~"
 CALLERS = 6
 MAX_ATTEMPTS = 8
@@ -46,6 +48,7 @@
             ("Host", HOST),
             ("Request-Id", f"{self.name}{SEPARATOR}{self.attempts}"),
             ("Deadline-Ms", str(int(ATTEMPT_TIMEOUT_S * 1000))),
+            AUTHORIZATION,
         ]
         if self.first:
             headers.append(("Resumes", self.first))
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
@@ -26,6 +26,10 @@
 }
 
 
+# Recorded as the organisation of a call that brought its caller's key.
+KEY_PASSED_ON = "key passed on"
+
+
 class SamplerHandler:
     """A handler that serves one instance of a cluster of fakes."""
 
@@ -108,6 +112,7 @@
             request.body,
             float(request.headers[const.HEADER_DEADLINE_MS]) / 1000,
             after_event=int(last_event) if last_event else None,
+            organisation=_read_organisation(request),
         )
         client = FakeSamplerClient(self._cluster, "")
         try:
@@ -136,3 +141,10 @@
         except UpstreamError:
             # Close without finishing, so that the client sees a truncation.
             exchange.closes_connection = True
+
+
+def _read_organisation(request: HttpRequest) -> str:
+    """Return the organisation that a call names, empty without one."""
+    if const.HEADER_AUTHORIZATION in request.headers:
+        return KEY_PASSED_ON
+    return request.headers.get(const.HEADER_TENANT, "")
