--- a/features/admission.feature
+++ b/features/admission.feature
@@ -41,11 +41,11 @@
     Failure guarded against: calls held that can't be served in time.
 
     Given <ahead> calls ahead at <rate> calls a second, <took> s each
-    When a call comes with <remaining> s left, target 0.4 s, in a <line> line
+    When a call comes with <remaining> s left, target 0.4 s, in a <queue> queue
     Then the decision is that it <answer>
 
     Examples:
-      | case                               | ahead | rate | took | remaining | line     | answer     |
+      | case                               | ahead | rate | took | remaining | queue    | answer     |
       | waits its turn                     | 9     | 100  | 0.1  | 2.0       | new      | waits      |
       | of a burst is served late          | 99    | 100  | 0.1  | 2.0       | new      | waits      |
       | of a burst would be too late       | 149   | 100  | 0.1  | 2.0       | new      | is refused |
@@ -100,7 +100,7 @@
       | urgent calls within the room are all served    |
 
   Scenario Outline: <ahead> calls go before a call of <call>
-    Failure guarded against: a refusal by the whole line, not by the share.
+    Failure guarded against: a refusal by the whole queue, not by the share.
 
     Given waiting calls by priority and organisation: <waiting>
     Then <ahead> calls go before one of <call>
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -4,7 +4,7 @@
 from behave.runner import Context
 from behave import then
 from behave import when
-from pistachiospar.shares.line import WaitingLine
+from pistachiospar.shares.waiting_queue import WaitingQueue
 from support import admission_decisions
 from support import crowd_cases
 from support import share_crowds
@@ -43,18 +43,19 @@
 
 
 @given("{ahead:d} calls ahead at {rate:g} calls a second, {took:g} s each")
-def set_line(context: Context, ahead: int, rate: float, took: float) -> None:
-    """Remember the line."""
-    context.line = (ahead, rate, took)
+def set_queue(context: Context, ahead: int, rate: float, took: float) -> None:
+    """Remember the queue."""
+    context.queue = (ahead, rate, took)
 
 
 @when(
-    "a call comes with {remaining:g} s left, target 0.4 s, in a {line:w} line"
+    "a call comes with {remaining:g} s left, target 0.4 s, "
+    "in a {queue:w} queue"
 )
-def decide_call(context: Context, remaining: float, line: str) -> None:
+def decide_call(context: Context, remaining: float, queue: str) -> None:
     """Decide whether the call waits."""
     context.found = admission_decisions.decide_wait(
-        context.line, remaining, line == "standing"
+        context.queue, remaining, queue == "standing"
     )
 
 
@@ -80,22 +81,22 @@
 
 @given("waiting calls by priority and organisation: {waiting}")
 def fill_line(context: Context, waiting: str) -> None:
-    """Fill a line; the weights are set later."""
+    """Fill a queue; the weights are set later."""
     context.weights = {}
-    context.waiting = WaitingLine(context.weights)
+    context.waiting = WaitingQueue(context.weights)
     admission_decisions.add_calls(context.waiting, waiting)
 
 
 @given("room for {room:d} calls came")
 def use_room(context: Context, room: int) -> None:
-    """Take calls from the line."""
+    """Take calls from the queue."""
     admission_decisions.take_calls(context.waiting, room)
 
 
 @when("room for {room:d} calls comes, with weights {weights}")
 @when("room for {room:d} calls comes, with weights ")
 def take_by_weight(context: Context, room: int, weights: str = "") -> None:
-    """Take calls with weights, from a line that is filled again."""
+    """Take calls with weights, from a queue that is filled again."""
     context.weights.update(admission_decisions.read_weights(weights))
     context.found = admission_decisions.take_calls(context.waiting, room)
 
@@ -128,24 +129,24 @@
 @then("{ahead:d} calls go before one of {call:w}")
 def check_ahead(context: Context, ahead: int, call: str) -> None:
     """Check how many calls go before a new one, and before waiting ones."""
-    line = context.waiting
-    found = line.count_ahead(int(call[0]), call[1], admission_decisions.LATER)
+    queue = context.waiting
+    found = queue.count_ahead(int(call[0]), call[1], admission_decisions.LATER)
     assert found == ahead, found
-    line.add(call, int(call[0]), call[1], admission_decisions.LATER)
-    places = {c.deadline: n for c, n in line.list_ahead()}
+    queue.add(call, int(call[0]), call[1], admission_decisions.LATER)
+    places = {c.deadline: n for c, n in queue.list_ahead()}
     assert places[admission_decisions.LATER] == ahead, places
 
 
 @when("calls with the deadlines {deadlines} wait")
 def add_deadlines(context: Context, deadlines: str) -> None:
     """Take calls of one organisation by their deadlines."""
-    line: WaitingLine[str] = WaitingLine()
+    queue: WaitingQueue[str] = WaitingQueue()
     for text in deadlines.split():
-        line.add(text, 1, "a", float(text))
+        queue.add(text, 1, "a", float(text))
     found = []
-    while line.count:
-        call = line.list_next()[0]
-        line.take(call)
+    while queue.count:
+        call = queue.list_next()[0]
+        queue.take(call)
         found.append(call.value)
     context.found = " ".join(found)
 
--- a/features/support/admission_decisions.py
+++ b/features/support/admission_decisions.py
@@ -9,7 +9,7 @@
 from pistachiospar.admission.models import RetryBudget
 from pistachiospar.admission import rooms
 from pistachiospar.ports.sampler import InstanceLoad
-from pistachiospar.shares.line import WaitingLine
+from pistachiospar.shares.waiting_queue import WaitingQueue
 
 NOW = 100.0
 LATER = 101.0
@@ -36,14 +36,14 @@
 
 
 def decide_wait(
-    line: tuple[int, float, float], remaining_s: float, is_standing: bool
+    queue: tuple[int, float, float], remaining_s: float, is_standing: bool
 ) -> str:
     """Return whether a call waits.
 
-    `line` has the calls ahead, those that end a second, 0 if that is not
+    `queue` has the calls ahead, those that end a second, 0 if that is not
     known, and how long one takes.
     """
-    ahead, rate_per_s, took_s = line
+    ahead, rate_per_s, took_s = queue
     expected_s = decisions.estimate_wait_s(ahead, rate_per_s or None)
     max_wait_s = decisions.choose_max_wait_s(
         remaining_s, 0.4, took_s, is_standing
@@ -74,19 +74,19 @@
     return granted[0], granted[1]
 
 
-def add_calls(line: WaitingLine[str], text: str) -> None:
+def add_calls(queue: WaitingQueue[str], text: str) -> None:
     """Add calls, for example `1a9` for nine of priority 1 and one name."""
     for word in text.split():
         for _ in range(int(word[2:])):
-            line.add(word[:2], int(word[0]), word[1], NOW)
+            queue.add(word[:2], int(word[0]), word[1], NOW)
 
 
-def take_calls(line: WaitingLine[str], room: int) -> str:
+def take_calls(queue: WaitingQueue[str], room: int) -> str:
     """Take calls as there is room; return how many of each kind."""
     found: Counter[str] = Counter()
     for _ in range(room):
-        call = line.list_next()[0]
-        line.take(call)
+        call = queue.list_next()[0]
+        queue.take(call)
         found[call.value] += 1
     return " ".join(f"{name}{count}" for name, count in sorted(found.items()))
 
--- a/packages/pistachiospar/src/pistachiospar/admission/const.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/const.py
@@ -40,14 +40,14 @@
 WAIT_SHARE: Final = 0.6
 # A burst is served late rather than refused. Once calls have waited for this
 # much longer than none did, new ones have to be expected on target, until
-# that has fallen to the second figure. With a single figure, a line that
+# that has fallen to the second figure. With a single figure, a queue that
 # empties for a moment let the next burst in.
 STANDING_S: Final = 0.5
 STANDING_END_S: Final = 0.25
 STANDING_MAX_S: Final = 1.0
 # A call is expected on target up to this share of the target latency.
 ON_TARGET_SHARE: Final = 0.8
-# In a standing line a call waits for this share of the target latency even
+# In a standing queue a call waits for this share of the target latency even
 # where the run alone takes longer than the target.
 MIN_WAIT_SHARE: Final = 0.25
 
--- a/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/coordinator.py
@@ -10,7 +10,7 @@
 from ..forwarding.selection import choose_upstream
 from ..forwarding.selection import InstanceSelector
 from ..routing.instances import ListedInstance
-from ..shares.line import WaitingCall
+from ..shares.waiting_queue import WaitingCall
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .budgets import earn
@@ -20,15 +20,15 @@
 from .decisions import is_hopeless
 from .decisions import promise_return
 from .instances import InstanceRooms
-from .lines import UpstreamLine
 from .models import AdmissionAnswer
 from .models import AdmissionRefusal
 from .models import CallOffer
-from .models import LineHistory
 from .models import NoInstance
+from .models import QueueHistory
 from .models import RetryBudget
 from .models import Started
 from .models import Waiting
+from .upstream_queues import UpstreamQueue
 
 BUDGET_DETAIL = "the retries of the upstream are used up"
 
@@ -47,7 +47,7 @@
         self._selector = selector
         self._metrics = metrics
         self._rng = rng
-        self._lines: dict[str, UpstreamLine] = {}
+        self._queues: dict[str, UpstreamQueue] = {}
         self.rooms = InstanceRooms(health, metrics, rng)
         self._waiting: dict[CallOffer, tuple[str, WaitingCall[CallOffer]]] = {}
         self._waiting_bytes = 0
@@ -65,7 +65,7 @@
                 const.SWEEP_INTERVAL_S,
                 const.SWEEP_PER_CALL_S * len(self._waiting),
             )
-            for upstream in list(self._lines):
+            for upstream in list(self._queues):
                 self._dispatch(upstream, now)
                 if is_due:
                     self._refuse_hopeless(upstream, now)
@@ -79,21 +79,21 @@
         """Start a call at an instance, let it wait, or refuse it."""
         call = offer.call
         upstream = choose_upstream(call.route, self._rng)
-        line = self._get_line(upstream, now)
+        queue = self._get_queue(upstream, now)
         candidates = self._list_candidates(upstream, call, now)
         if not candidates:
             return NoInstance()
         if not offer.is_repeated:
-            line.budget = earn(line.budget, now)
-        elif line.is_pressed(now) and not line.spend_token(
+            queue.budget = earn(queue.budget, now)
+        elif queue.is_pressed(now) and not queue.spend_token(
             offer.may_refuse(), now
         ):
             expected_s = self._estimate_wait_s(upstream, call, now)
             return self._make_refusal(upstream, BUDGET_DETAIL, expected_s, now)
-        if not line.calls.count and self._start(upstream, offer, now):
-            line.note_use(False, now)
+        if not queue.calls.count and self._start(upstream, offer, now):
+            queue.note_use(False, now)
             return Started()
-        if offer.hedges and not line.is_pressed(now):
+        if offer.hedges and not queue.is_pressed(now):
             return NoInstance()
         refusal = self._find_refusal(upstream, offer, now)
         if refusal is not None:
@@ -109,7 +109,7 @@
         if found is not None:
             upstream, waiting = found
             self._waiting_bytes -= len(offer.call.body)
-            self._lines[upstream].calls.remove(waiting)
+            self._queues[upstream].calls.remove(waiting)
 
     def may_hedge(self, running_at: list[ListedInstance], now: float) -> bool:
         """Return whether a call may run twice, by where it runs now.
@@ -117,8 +117,8 @@
         Under pressure only when nothing is answered there.
         """
         for instance in running_at:
-            line = self._lines.get(instance.upstream)
-            if line is None or not line.is_pressed(now):
+            queue = self._queues.get(instance.upstream)
+            if queue is None or not queue.is_pressed(now):
                 continue
             found = self._selector.list_instances(instance.upstream, now)
             if instance in self.rooms.list_answering(found, now):
@@ -130,20 +130,20 @@
     ) -> None:
         """Record the end of a call, and use the room that it leaves."""
         self.rooms.record_end(instance, responded, now)
-        if instance.upstream in self._lines:
+        if instance.upstream in self._queues:
             self._dispatch(instance.upstream, now)
 
     def _dispatch(self, upstream: str, now: float) -> None:
         """Start the waiting calls for which there is room, in order."""
-        line = self._lines[upstream]
-        while line.calls.count:
-            line.note_use(True, now)
+        queue = self._queues[upstream]
+        while queue.calls.count:
+            queue.note_use(True, now)
             if not any(
                 self._start_waiting(upstream, waiting, now)
-                for waiting in line.calls.list_next()
+                for waiting in queue.calls.list_next()
             ):
                 return
-        line.note_use(False, now)
+        queue.note_use(False, now)
 
     def _start_waiting(
         self, upstream: str, waiting: WaitingCall[CallOffer], now: float
@@ -153,7 +153,7 @@
         instance = self._find_instance(upstream, offer, now)
         if instance is None:
             return False
-        self._lines[upstream].calls.take(waiting)
+        self._queues[upstream].calls.take(waiting)
         del self._waiting[offer]
         self._waiting_bytes -= len(offer.call.body)
         offer.start(instance)
@@ -172,7 +172,7 @@
     ) -> ListedInstance | None:
         """Return an instance with room for a call."""
         candidates = self._list_candidates(upstream, offer.call, now)
-        is_pressed = self._lines[upstream].is_pressed(now)
+        is_pressed = self._queues[upstream].is_pressed(now)
         found = self.rooms.list_open(candidates, is_pressed, now)
         if offer.hedges:
             found = [
@@ -195,9 +195,9 @@
     def _add(self, upstream: str, offer: CallOffer, now: float) -> None:
         """Let a call wait."""
         call = offer.call
-        line = self._lines[upstream]
-        line.note_use(True, now)
-        waiting = line.calls.add(
+        queue = self._queues[upstream]
+        queue.note_use(True, now)
+        waiting = queue.calls.add(
             offer,
             call.route.priority,
             call.organisation or "",
@@ -216,7 +216,7 @@
         One that may have run has to be waited for in any case.
         """
         call = offer.call
-        line = self._lines[upstream]
+        queue = self._queues[upstream]
         expected_s = self._estimate_wait_s(upstream, call, now)
         if offer.may_refuse() and expected_s is not None:
             max_wait_s = choose_max_wait_s(
@@ -225,11 +225,11 @@
                 self.rooms.find_usual_duration_s(
                     self._selector.list_instances(upstream, now)
                 ),
-                line.history.is_standing
-                and not line.calls.count_more_urgent(call.route.priority),
+                queue.history.is_standing
+                and not queue.calls.count_more_urgent(call.route.priority),
             )
             if expected_s > max_wait_s:
-                line.note_use(True, now)
+                queue.note_use(True, now)
                 return self._make_refusal(
                     upstream,
                     f"no room within {max_wait_s:.2f} s",
@@ -246,16 +246,16 @@
         self, upstream: str, detail: str, expected_s: float | None, now: float
     ) -> AdmissionRefusal:
         """Return a refusal with when its caller finds room."""
-        line = self._lines[upstream]
+        queue = self._queues[upstream]
         rate_per_s = self.rooms.estimate_rate_per_s(
             self._selector.list_instances(upstream, now), now
         )
         if expected_s is None or rate_per_s is None:
             return AdmissionRefusal(detail, expected_s)
-        line.promised_until = promise_return(
-            line.promised_until, expected_s, rate_per_s, now
+        queue.promised_until = promise_return(
+            queue.promised_until, expected_s, rate_per_s, now
         )
-        return AdmissionRefusal(detail, line.promised_until - now)
+        return AdmissionRefusal(detail, queue.promised_until - now)
 
     def _make_space(self, upstream: str, offer: CallOffer, now: float) -> bool:
         """Return whether a call may be held, if need be for a less urgent."""
@@ -263,7 +263,7 @@
         while not fits_bounds(
             len(self._waiting), self._waiting_bytes, new_bytes
         ):
-            last = self._lines[upstream].calls.find_last()
+            last = self._queues[upstream].calls.find_last()
             if (
                 last is None
                 or last.priority <= offer.call.route.priority
@@ -275,7 +275,7 @@
 
     def _refuse_hopeless(self, upstream: str, now: float) -> None:
         """Refuse the waiting calls that can't be served in time any more."""
-        line = self._lines[upstream].calls
+        queue = self._queues[upstream].calls
         is_empty = not self._selector.list_instances(upstream, now)
         rate_per_s = self.rooms.estimate_rate_per_s(
             self._selector.list_instances(upstream, now), now
@@ -283,7 +283,7 @@
         duration_s = self.rooms.find_usual_duration_s(
             self._selector.list_instances(upstream, now)
         )
-        for waiting, ahead in line.list_ahead():
+        for waiting, ahead in queue.list_ahead():
             offer = waiting.value
             if not offer.may_refuse():
                 continue
@@ -303,7 +303,7 @@
             "waiting_call_refused",
             request=offer.call.request_id,
             upstream=upstream,
-            waiting=self._lines[upstream].calls.count,
+            waiting=self._queues[upstream].calls.count,
             detail=detail,
         )
         offer.refuse(self._make_refusal(upstream, detail, expected_s, now))
@@ -312,7 +312,7 @@
         self, upstream: str, call: ForwardCall, now: float
     ) -> float | None:
         """Return how long a call is expected to wait; None if unknown."""
-        ahead = self._lines[upstream].calls.count_ahead(
+        ahead = self._queues[upstream].calls.count_ahead(
             call.route.priority, call.organisation or "", call.give_up_at
         )
         return estimate_wait_s(
@@ -322,9 +322,9 @@
             ),
         )
 
-    def _get_line(self, upstream: str, now: float) -> UpstreamLine:
-        """Return an upstream's line, a new one if there is none."""
-        if upstream not in self._lines:
+    def _get_queue(self, upstream: str, now: float) -> UpstreamQueue:
+        """Return an upstream's queue, a new one if there is none."""
+        if upstream not in self._queues:
             budget = RetryBudget(const.RETRY_RESERVE, now)
-            self._lines[upstream] = UpstreamLine(budget, LineHistory(now))
-        return self._lines[upstream]
+            self._queues[upstream] = UpstreamQueue(budget, QueueHistory(now))
+        return self._queues[upstream]
--- a/packages/pistachiospar/src/pistachiospar/admission/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/decisions.py
@@ -8,20 +8,20 @@
 from collections.abc import Iterable
 
 from . import const
-from .models import LineHistory
+from .models import QueueHistory
 
 
 def update_history(
-    history: LineHistory, is_busy: bool, now: float
-) -> LineHistory:
-    """Return a line's history, with whether calls wait from now on."""
+    history: QueueHistory, is_busy: bool, now: float
+) -> QueueHistory:
+    """Return a queue's history, with whether calls wait from now on."""
     elapsed_s = now - history.updated_at
     busy_s = history.busy_s + (elapsed_s if history.is_busy else -elapsed_s)
     busy_s = min(max(busy_s, 0.0), const.STANDING_MAX_S)
     limit_s = const.STANDING_S
     if history.is_standing:
         limit_s = const.STANDING_END_S
-    return LineHistory(now, busy_s, is_busy, busy_s > limit_s)
+    return QueueHistory(now, busy_s, is_busy, busy_s > limit_s)
 
 
 def estimate_rate_per_s(
--- a/packages/pistachiospar/src/pistachiospar/admission/models.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/models.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LineHistory:
+class QueueHistory:
     """For how long calls have waited more than not, up to a maximum.
 
     `is_standing` is set while that is no burst any more.
--- a/packages/pistachiospar/src/pistachiospar/admission/lines.py
+++ b/packages/pistachiospar/src/pistachiospar/admission/upstream_queues.py
@@ -1,19 +1,19 @@
-"""The line of calls that wait for an upstream."""
+"""The queue of calls that wait for an upstream."""
 
 from dataclasses import dataclass
 from dataclasses import field
 
 from . import const
-from ..shares.line import WaitingLine
+from ..shares.waiting_queue import WaitingQueue
 from .budgets import spend
 from .decisions import update_history
 from .models import CallOffer
-from .models import LineHistory
+from .models import QueueHistory
 from .models import RetryBudget
 
 
 @dataclass(slots=True)
-class UpstreamLine:
+class UpstreamQueue:
     """The calls that wait for an upstream, and its budget of retries.
 
     Calls waited last at `busy_at`. Refused callers come back for the room up
@@ -21,8 +21,8 @@
     """
 
     budget: RetryBudget
-    history: LineHistory
-    calls: WaitingLine[CallOffer] = field(default_factory=WaitingLine)
+    history: QueueHistory
+    calls: WaitingQueue[CallOffer] = field(default_factory=WaitingQueue)
     busy_at: float = float("-inf")
     promised_until: float = float("-inf")
 
--- a/packages/pistachiospar/src/pistachiospar/shares/line.py
+++ b/packages/pistachiospar/src/pistachiospar/shares/waiting_queue.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class PriorityLine(Generic[Value]):
+class PriorityQueue(Generic[Value]):
     """The waiting calls of one priority, by organisation.
 
     `finish_tags` has organisations that wait or that are ahead of
@@ -71,13 +71,13 @@
             }
 
 
-class WaitingLine(Generic[Value]):
+class WaitingQueue(Generic[Value]):
     """The waiting calls of an upstream; `weights` are by organisation."""
 
     def __init__(self, weights: dict[str, float] | None = None) -> None:
-        """Create an empty line; organisations without a weight have 1."""
+        """Create an empty queue; organisations without a weight have 1."""
         self._weights = {} if weights is None else weights
-        self._priorities: dict[int, PriorityLine[Value]] = {}
+        self._priorities: dict[int, PriorityQueue[Value]] = {}
         self._floor_credit = 0.0
         self._added = 0
         self.count = 0
@@ -95,26 +95,28 @@
         call = WaitingCall(
             value, priority, organisation, deadline, self._added, cost
         )
-        line = self._priorities.setdefault(priority, PriorityLine())
+        queue = self._priorities.setdefault(priority, PriorityQueue())
         insort(
-            line.calls.setdefault(organisation, []), call, key=lambda c: c.rank
+            queue.calls.setdefault(organisation, []),
+            call,
+            key=lambda c: c.rank,
         )
-        line.count += 1
-        line.table = None
+        queue.count += 1
+        queue.table = None
         self.count += 1
         return call
 
     def remove(self, call: WaitingCall[Value]) -> None:
         """Remove a call that waits no longer and was not taken."""
-        line = self._priorities[call.priority]
-        calls = line.calls[call.organisation]
+        queue = self._priorities[call.priority]
+        calls = queue.calls[call.organisation]
         calls.remove(call)
-        line.count -= 1
-        line.table = None
+        queue.count -= 1
+        queue.table = None
         self.count -= 1
         if not calls:
-            del line.calls[call.organisation]
-        if not line.calls:
+            del queue.calls[call.organisation]
+        if not queue.calls:
             del self._priorities[call.priority]
 
     def list_next(self) -> list[WaitingCall[Value]]:
@@ -131,28 +133,28 @@
         self._floor_credit = update_floor_credit(
             self._floor_credit, call.priority, self._priorities
         )
-        line = self._priorities[call.priority]
-        line.charge(call, self._get_weight(call.organisation))
+        queue = self._priorities[call.priority]
+        queue.charge(call, self._get_weight(call.organisation))
         self.remove(call)
 
     def find_last(self) -> WaitingCall[Value] | None:
         """Return the call that gives way to a more urgent one."""
         if not self._priorities:
             return None
-        line = self._priorities[max(self._priorities)]
-        longest = max(line.calls.values(), key=len)
+        queue = self._priorities[max(self._priorities)]
+        longest = max(queue.calls.values(), key=len)
         return longest[-1]
 
     def count_ahead(
         self, priority: int, organisation: str, deadline: float
     ) -> float:
         """Return how many calls go before a new one of a deadline."""
-        line = self._priorities.get(priority, PriorityLine())
-        calls = line.calls.get(organisation, [])
+        queue = self._priorities.get(priority, PriorityQueue())
+        calls = queue.calls.get(organisation, [])
         own = bisect_left(calls, (deadline, 0), key=lambda call: call.rank)
         weight = self._get_weight(organisation)
         turns = (own + 1) / weight
-        served = self._get_share_table(line).count_served(turns)
+        served = self._get_share_table(queue).count_served(turns)
         others = served - min(float(len(calls)), turns * weight)
         return count_ahead(
             self.count_more_urgent(priority),
@@ -163,11 +165,11 @@
     def list_ahead(self) -> list[tuple[WaitingCall[Value], float]]:
         """Return all waiting calls and how many go before each."""
         found: list[tuple[WaitingCall[Value], float]] = []
-        for priority, line in self._priorities.items():
+        for priority, queue in self._priorities.items():
             more_urgent = self.count_more_urgent(priority)
             is_least_urgent = priority == max(self._priorities)
-            table = self._get_share_table(line)
-            for name, calls in line.calls.items():
+            table = self._get_share_table(queue)
+            for name, calls in queue.calls.items():
                 weight = self._get_weight(name)
                 for place, call in enumerate(calls, start=1):
                     own = table.count_served(place / weight) - 1.0
@@ -178,19 +180,19 @@
     def count_more_urgent(self, priority: int) -> int:
         """Return how many calls of more urgent priorities wait."""
         return sum(
-            line.count
-            for other, line in self._priorities.items()
+            queue.count
+            for other, queue in self._priorities.items()
             if other < priority
         )
 
-    def _get_share_table(self, line: PriorityLine[Value]) -> ShareTable:
+    def _get_share_table(self, queue: PriorityQueue[Value]) -> ShareTable:
         """Return the table of a priority's shares, made after a change."""
-        if line.table is None:
-            line.table = make_share_table(
+        if queue.table is None:
+            queue.table = make_share_table(
                 (len(calls), self._get_weight(name))
-                for name, calls in line.calls.items()
+                for name, calls in queue.calls.items()
             )
-        return line.table
+        return queue.table
 
     def _get_weight(self, organisation: str) -> float:
         """Return an organisation's weight."""
