Start the gateways that have ended before a soak's last checks

Traced: its log ends with 'stopped'; a SIGHUP of the series hit the next process before its handler was there, which ends it, and the soak starts a process only after its own faults. The platform starts it again, and its launcher ignores SIGHUP until then.

Change: all gateways run again before the organisation is removed, so that each has to refuse the key.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -313,6 +313,10 @@
             sampler.faults.down = False
             sampler.faults.slow_factor = 1.0
             sampler.faults.truncated_share = 0.0
+        # A SIGHUP that hits a process before its handler is there ends it;
+        # the platform would start it again.
+        for name in fleet.processes:
+            fleet.start_process(name)
         remove_organisation(fleet)
         await trio.sleep(SETTLE_DELAY_S)
         run.violations.extend(await probe_keys(fleet))
