--- a/review/standins.py
+++ b/review/standins.py
@@ -453,7 +453,7 @@
         self.event_s = 0.035
         self.work_s = 0.02
         self.lengths = {}
-        self.dark = False
+        self.padding = ""
         self.born = int(time.time() * 1000)
         self._free = asyncio.Semaphore(slots)
         self._server = Server(self._answer)
@@ -490,9 +490,6 @@
         ]
 
     async def _answer(self, request, reader, writer):
-        if self.dark:
-            await asyncio.sleep(60.0)
-            return False
         expected = request.headers.get("expect-instance", self.name)
         request_id = request.headers.get("request-id", "")
         common = {"Request-Id": request_id} if request_id else {}
@@ -574,7 +571,7 @@
         writer.write(encode(200, headers, None))
         for number in range(first, self.lengths.get(request_id, 12) + 1):
             await asyncio.sleep(self.event_s)
-            event = make_event(request_id, number)
+            event = make_event(request_id, number) + self.padding
             block = f"id: {number}\ndata: {event}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(block), block))
             await writer.drain()
@@ -637,7 +634,7 @@
 class Gateway:
     """A gateway as a process, run with the command of the deploy file."""
 
-    def __init__(self, folder: Path, record: Record, name, ip, store) -> None:
+    def __init__(self, folder, record, name, ip, store, limits) -> None:
         self.name = name
         self.front = f"{ip}:8149"
         self.ready = f"{ip}:8141"
@@ -646,6 +643,7 @@
         self._process = None
         self._settings = folder / f"{name}.json"
         self._values = make_settings(name, ip, store)
+        self._values["limits"] |= limits
 
     def start(self) -> None:
         """Start the process."""
@@ -682,6 +680,17 @@
         """Return whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    def read_memory_mb(self) -> float:
+        """Return the memory that the process uses, in MB of 2**20 bytes."""
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in status.splitlines():
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
     @property
     def status(self):
         """Return the exit status, None while the process runs."""
@@ -862,8 +871,11 @@
         self.samplers.append(sampler)
         return sampler
 
-    async def start_gateways(self, count: int) -> None:
-        """Start gateways and wait until all are ready."""
+    async def start_gateways(self, count: int, **limits: float) -> None:
+        """Start gateways and wait until all are ready.
+
+        `limits` replace those of a machine in the settings.
+        """
         for number in range(count):
             gateway = Gateway(
                 self.folder,
@@ -871,6 +883,7 @@
                 f"front-{number}",
                 f"{self.block}.{10 + number}",
                 self.store_address,
+                limits,
             )
             self.gateways.append(gateway)
             gateway.start()
