Load a pool anew when another gateway held it since

Cause: a holder whose lease had ended took its role again with the state in memory, unless its list of holders named another gateway. That list comes from a watch: after a suspension it knew neither of the holder in between nor of its end, and the vacant pool was taken 11 ms after role_lapsed.

Change: each acquisition writes a key without lease beside the holder's key, in one transaction. A lost role is acquired again only if that key was not written since, which the transaction checks; otherwise the role is given up and the pool loaded from the store. Log events role_reacquired and role_superseded tell the two apart.

Regression row: features/gateway.feature, 'a holder that hung while another held the pool loads it anew'. Features gateway, submissions, logs, usage, process_faults, leaving pass.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -120,6 +120,8 @@
       | a holder that is cut off from the store notices it |
       | a holder that stays cut off commits without pauses |
       | a holder that stops in a store outage loses no work |
+      | a holder that hung while another held the pool loads it anew |
+      | a holder whose lease ended for nobody keeps its work |
       | submissions with a hole block no others            |
       | only the holder follows named versions             |
       | an interrupted stream resumes elsewhere            |
--- a/features/support/holder_cases.py
+++ b/features/support/holder_cases.py
@@ -10,8 +10,10 @@
 from pistachiospar.submissions.archive import encode_results
 from pistachiospar.submissions.const import MAX_CONCURRENT_LOADS
 from pistachiospar.submissions.keys import make_results_key
+from pistachiospar.submissions.keys import make_results_prefix
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import HOST
+from pistachiospar_standins.fakes.gateway_fleet import LEASE_TTL_S
 from pistachiospar_standins.fakes.gateway_fleet import POOL
 import trio
 
@@ -110,6 +112,85 @@
     return stopped and done and len(runs) == 12
 
 
+async def check_holder_in_between(fleet: GatewayFleet) -> bool:
+    """Guard: a role resumed with memory from before another holder.
+
+    The holder hangs; another one takes the pool, lists results and gives the
+    pool back. Then the first is back, before it could read of any of this:
+    it has to load the submission anew.
+    """
+    name = fleet.find_holder()
+    assert name is not None
+    other, third = (n for n in fleet.running if n != name)
+    fleet.kill_gateway(third)
+    history = make_history("between", 12)
+    await fleet.send_request(other, make_submission_request(history))
+    await trio.sleep(0.05)
+    submissions = fleet.running[name].coordinator.pools[POOL].registry
+    state_before = submissions.submissions["between"]
+    _hang(fleet, name, True)
+    await _wait_until_holder(fleet, other)
+    while not fleet.store.read(make_results_prefix("between"), "ps/s"):
+        await trio.sleep(0.05)
+    await fleet.running[other].coordinator.hand_over()
+    fleet.kill_gateway(other)
+    _hang(fleet, name, False)
+    await trio.sleep(8.0)
+    state_after = submissions.submissions["between"]
+    page = await read_page_at(fleet, name, history)
+    names = sorted(item.id for item in history.submission.items)
+    return (
+        fleet.find_holder() == name
+        and state_after is not state_before
+        and page is not None
+        and sorted(result.id for result in page.results) == names
+    )
+
+
+async def check_lapsed_lease(fleet: GatewayFleet) -> bool:
+    """Check that a holder keeps its work if its lease ended for nobody.
+
+    The store is away from all until the lease has ended.
+    """
+    name = fleet.find_holder()
+    assert name is not None
+    history = make_history("lapsed", 12)
+    await fleet.send_request(name, make_submission_request(history))
+    await trio.sleep(0.05)
+    submissions = fleet.running[name].coordinator.pools[POOL].registry
+    state_before = submissions.submissions["lapsed"]
+    fence_before = fleet.running[name].coordinator.holders.roles[POOL].fence
+    for running in fleet.running.values():
+        running.kv.faults.down = True
+    await trio.sleep(LEASE_TTL_S + 1.0)
+    for running in fleet.running.values():
+        running.kv.faults.down = False
+    await trio.sleep(2.0)
+    return (
+        fleet.find_holder() == name
+        and fleet.running[name].coordinator.holders.roles[POOL].fence
+        > fence_before
+        and submissions.submissions["lapsed"] is state_before
+    )
+
+
+def _hang(fleet: GatewayFleet, name: str, hangs: bool) -> None:
+    """Let a gateway learn nothing of the others and of the store, or again."""
+    faults = fleet.running[name].kv.faults
+    faults.latency_s = 3.0 if hangs else 0.002
+    faults.silent_poll = hangs
+    if hangs:
+        fleet.isolated.add(name)
+    else:
+        fleet.isolated.discard(name)
+
+
+async def _wait_until_holder(fleet: GatewayFleet, name: str) -> None:
+    """Wait until a gateway has taken the pool."""
+    while POOL not in fleet.running[name].coordinator.holders.roles:
+        await trio.sleep(0.05)
+
+
 async def check_damaged_submissions(fleet: GatewayFleet) -> bool:
     """Check that submissions with a hole are reported and block no other.
 
@@ -145,6 +226,10 @@
 CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
     "a holder that is cut off from the store notices it": check_cut_holder,
     "a holder that stays cut off commits without pauses": check_long_cut,
+    "a holder that hung while another held the pool loads it anew": (
+        check_holder_in_between
+    ),
+    "a holder whose lease ended for nobody keeps its work": check_lapsed_lease,
     "submissions with a hole block no others": check_damaged_submissions,
     "a holder that stops in a store outage loses no work": (
         check_stop_in_outage
--- a/features/support/log_schema.py
+++ b/features/support/log_schema.py
@@ -13,6 +13,7 @@
     "a refused submission never runs",
     "a failed sampler is not retried all the time",
     "the next holder resumes the work of a crashed one",
+    "a holder whose lease ended for nobody keeps its work",
 )
 # Fields that each event needs, so that its cause can be found in the log.
 REQUIRED_FIELDS = {
@@ -25,6 +26,7 @@
     "item_attempt_lost": {"item", "submission", "instance", "detail"},
     "item_finished": {"item", "submission", "instance", "versions"},
     "role_taken": {"pool", "fence"},
+    "role_reacquired": {"pool", "fence", "fence_before"},
     "load_ordered": {"instance", "model", "version", "fence", "reply"},
 }
 
--- a/packages/pistachioctl/src/pistachioctl/traces.py
+++ b/packages/pistachioctl/src/pistachioctl/traces.py
@@ -26,6 +26,8 @@
         "role_given_back",
         "role_lapsed",
         "role_left",
+        "role_reacquired",
+        "role_superseded",
         "role_taken",
         "started",
         "stopped",
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/const.py
@@ -6,6 +6,8 @@
 PREFIX_GATEWAYS: Final = "ps/g/"
 PREFIX_HOLDERS: Final = "ps/g/holder/"
 PREFIX_MEMBERS: Final = "ps/g/member/"
+# The last holder of each pool, which outlives its lease. Nobody watches it.
+PREFIX_LAST_HOLDERS: Final = "ps/l/"
 # How long a gateway's address outlives it.
 MEMBER_LEASE_S: Final = 300.0
 # A lease is renewed three times within its length, so that one lost call
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/coordinator.py
@@ -187,7 +187,11 @@
                 return
 
     async def _run_role(self, role: Role, task: RoleTask) -> None:
-        """Run the task of a role until another gateway took the pool."""
+        """Run the task of a role until another gateway took the pool.
+
+        A role that is lost and acquired again keeps its task, and so what
+        that knows of the pool, only if no other gateway held it in between.
+        """
         self.roles[role.pool] = role
         try:
             async with trio.open_nursery() as nursery:
@@ -218,7 +222,10 @@
             while role.lost and not self._stopping:
                 record = self.holders.get(role.pool)
                 if record is None or record.life == self._own_record.life:
-                    await self._reacquire(role)
+                    await self._role_leases.reacquire_role(role)
+                if role.superseded:
+                    self._notify_changed()
+                    return
                 if role.lost:
                     await trio.sleep(const.RETRY_DELAY_S * self._rng.random())
 
@@ -235,16 +242,10 @@
                 await self._changed.wait()
             nursery.cancel_scope.cancel()
 
-    async def _reacquire(self, role: Role) -> None:
-        """Acquire a role anew if it is vacant; its pool keeps its state."""
-        reacquired = await self._role_leases.acquire_role(role.pool, 0)
-        if reacquired is None:
-            return
-        role.fence, role.lease = reacquired.fence, reacquired.lease
-        role.valid_until, role.lost = reacquired.valid_until, False
-
     def _is_deposed(self, role: Role) -> bool:
         """Return whether another process acquired the pool since."""
+        if role.superseded:
+            return True
         record = self.holders.get(role.pool)
         if record is None or record.life == self._own_record.life:
             return False
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/models.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/models.py
@@ -28,7 +28,8 @@
     token. `valid_until` and `renewal_sent_at`, the time of the last attempt
     to renew, are on the boot clock, in seconds. `lost` is set when the key
     was deleted, whatever the state of the lease, and when the lease expired
-    or was released.
+    or was released. `superseded` is set once another gateway may have held
+    the pool since: what this process knows of it may be out of date.
     """
 
     pool: str
@@ -38,6 +39,7 @@
     valid_until: float
     lost: bool = False
     renewal_sent_at: float = float("-inf")
+    superseded: bool = False
 
     def may_start_work(self, boot_now: float) -> bool:
         """Return whether the holder may start work.
--- a/packages/pistachiospar/src/pistachiospar/pool_holders/role_lease.py
+++ b/packages/pistachiospar/src/pistachiospar/pool_holders/role_lease.py
@@ -41,6 +41,52 @@
         `expected_revision` is 0 for a vacant pool, otherwise the revision
         that an earlier incarnation of this gateway wrote.
         """
+        key = const.PREFIX_HOLDERS + pool
+        return await self._write_key(pool, (KvCheck(key, expected_revision),))
+
+    async def reacquire_role(self, role: Role) -> None:
+        """Acquire a lost role again unless another gateway held the pool.
+
+        The holders' mirror can't tell: a holder in between may have come and
+        gone before this process reads the changes. Sets `superseded` when
+        there may have been one; the role stays lost when a call failed.
+        """
+        last_key = const.PREFIX_LAST_HOLDERS + role.pool
+        read = await self._kv.get_item(last_key)
+        if isinstance(read, Err):
+            return
+        last = read.ok_value
+        if last is None or last.revision > role.fence:
+            role.superseded = True
+            log_event(
+                "role_superseded",
+                pool=role.pool,
+                fence=role.fence,
+                last_fence=last.revision if last is not None else 0,
+            )
+            return
+        found = await self._write_key(
+            role.pool,
+            (KvCheck(role.key, 0), KvCheck(last_key, last.revision)),
+        )
+        if found is None:
+            return
+        log_event(
+            "role_reacquired",
+            pool=role.pool,
+            fence=found.fence,
+            fence_before=role.fence,
+        )
+        role.fence, role.lease = found.fence, found.lease
+        role.valid_until, role.lost = found.valid_until, False
+
+    async def _write_key(
+        self, pool: str, checks: tuple[KvCheck, ...]
+    ) -> Role | None:
+        """Write the keys of a pool's holder under a new lease, if checks hold.
+
+        Return None if that failed.
+        """
         sent_at = self._read_boot_s()
         granted = await self._kv.grant_lease(self._lease_s)
         if isinstance(granted, Err):
@@ -48,9 +94,11 @@
         lease = granted.ok_value
         key = const.PREFIX_HOLDERS + pool
         value = msgspec.json.encode(self._record)
-        transaction = KvTransaction(
-            (KvCheck(key, expected_revision),), (KvPut(key, value, lease),)
+        puts = (
+            KvPut(const.PREFIX_LAST_HOLDERS + pool, value),
+            KvPut(key, value, lease),
         )
+        transaction = KvTransaction(checks, puts)
         written = await self._kv.commit(transaction)
         if isinstance(written, Err):
             unknown = written.err_value.fault is KvFault.UNKNOWN
