Leave out listed instances whose entry can't be used

Cause: parse_address took any text before the colon as a host and any number as a port. The report of such an instance was asked for, and getaddrinfo raised UnicodeError, where the client expects OSError only.

Evidence: the traceback in the log of the gateway that ended, from getaddrinfo through HttpPool._open_connection and fetch_report.

Change: parse_address takes IP addresses and host names, and ports up to 65535. An entry is refused, logged as before and left out if its name can't be sent in a header, its texts or slots are too large, or its data nested too deeply. The client reports an address that is none as a connection that failed.

Looked at besides, each with a row: names of entries (Expect-Instance), ports above 65535, zero bytes, empty hosts, numbers of slots that no float holds, nested data in entries, named versions and samplers' reports.

Regression rows: features/platform.feature, 'another writer lists an instance with ...' and 'a connection to port ...'. Red without the change: 3 scenarios passed, 14 failed, among them the case's address with the same UnicodeError; all pass with it.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -100,3 +100,36 @@
       | settings in a YAML mapping with braces|
       | settings without a node               |
       | settings that are not YAML            |
+
+  # An entry that could not be used ended each gateway that called it, and the
+  # steps of a pool stood still while one holder after the other ended.
+  Scenario Outline: another writer lists an instance with <entry>
+    When another writer lists an instance with <entry>
+    Then the entry names no instance
+
+    Examples:
+      | entry |
+      | an address of characters that could not be read |
+      | an address with a label of 70 letters |
+      | an address of dots |
+      | an address without host |
+      | an address with a zero byte |
+      | an address without port |
+      | a port above the largest |
+      | a negative port |
+      | a port of other digits |
+      | a port of 5000 digits |
+      | more slots than a float can count |
+      | a software version of a megabyte |
+      | a name outside ASCII |
+      | a name with a line break |
+      | a field that is nested too deeply |
+
+  Scenario Outline: a connection to port <port> of a host with <name>
+    When a connection is opened to port <port> of a host with <name>
+    Then the connection fails, and nothing else
+
+    Examples: addresses that reached the client nevertheless
+      | port  | name                  |
+      | 80    | unreadable characters |
+      | 70000 | 127.0.0.1             |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -3,6 +3,7 @@
 from behave.runner import Context
 from behave import then
 from behave import when
+from support import foreign_entries
 from support import platform_decoding
 from support import sampler_responses
 
@@ -48,3 +49,28 @@
 def check_input(context: Context) -> None:
     """Compare the decoded document."""
     assert context.found.startswith(context.expected), context.found
+
+
+@when("another writer lists an instance with {entry}")
+def use_entry(context: Context, entry: str) -> None:
+    """Read an entry, and call what it names if it is readable."""
+    context.found = foreign_entries.use_entry(entry)
+
+
+@then("the entry names no instance")
+def check_entry(context: Context) -> None:
+    """Check that the entry was left out."""
+    assert context.found == "unreadable", context.found
+
+
+@when("a connection is opened to port {port:d} of a host with {name}")
+def connect(context: Context, port: int, name: str) -> None:
+    """Open a connection to an address that is none."""
+    hosts = {"unreadable characters": "\N{REPLACEMENT CHARACTER}"}
+    context.found = foreign_entries.connect(hosts.get(name, name), port)
+
+
+@then("the connection fails, and nothing else")
+def check_connection(context: Context) -> None:
+    """Check that the error is one that callers of the client expect."""
+    assert context.found == "not connected", context.found
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
@@ -22,6 +22,10 @@
 POOL_IDLE_TIMEOUT_S: Final = 20.0
 POOL_MAX_IDLE_CONNECTIONS: Final = 64
 CONNECT_TIMEOUT_S: Final = 2.0
+MAX_PORT: Final = 65_535
+MAX_HOST_NAME_CHARACTERS: Final = 254
+# How much of an invalid address an error shows.
+MAX_SHOWN_CHARACTERS: Final = 80
 # Idle connections are dropped this long before the server's keep-alive
 # timeout, so that no request is sent while the server closes its side.
 KEEP_ALIVE_MARGIN_S: Final = 0.5
--- a/packages/pistachiospar/src/pistachiospar/platform/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/instances.py
@@ -1,5 +1,9 @@
 """Upstream instances that register in the platform's store."""
 
+import re
+from typing import Annotated
+from typing import Final
+
 import msgspec
 from result import Err
 from result import Ok
@@ -7,8 +11,17 @@
 
 from ..adapters.http.client import parse_address
 from . import const
+from ..helpers.decoding import DECODE_ERRORS
 from ..routing.instances import ListedInstance
 
+MAX_NAME_CHARACTERS: Final = 256
+MAX_SLOTS: Final = 1_000_000
+# A name is sent in a header.
+_HEADER_TEXT_PATTERN: Final = re.compile("[!-~]([ -~]*[!-~])?")
+
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+
 
 class HeldModelMessage(msgspec.Struct):
     """A model and the version of its weights."""
@@ -24,28 +37,34 @@
     is left out: it is the number of the instance's writes.
     """
 
-    service: str
-    address: str
-    zone: str
-    slots: int
+    service: Name
+    address: Name
+    zone: Name
+    slots: SlotCount
     state: str
-    version: str
+    version: Name
     born: int = 0
     models: list[HeldModelMessage] = []
 
 
 def read_instance(key: str, value: bytes) -> Result[ListedInstance, str]:
-    """Decode a registration; the Err says what is invalid."""
+    """Decode a registration; the Err says what is invalid.
+
+    Whoever can write to the store can write one, so nothing in it is trusted.
+    """
+    name = key.removeprefix(const.PREFIX_INSTANCES)
+    if not _HEADER_TEXT_PATTERN.fullmatch(name):
+        return Err("the name can't be sent in a header")
     try:
         message = msgspec.json.decode(value, type=InstanceMessage)
         address = parse_address(message.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         return Err(str(error))
     if message.state not in ("ready", "draining"):
-        return Err(f"unknown state {message.state!r}")
+        return Err(f"unknown state {message.state[:MAX_NAME_CHARACTERS]!r}")
     return Ok(
         ListedInstance(
-            key.removeprefix(const.PREFIX_INSTANCES),
+            name,
             message.service,
             address,
             message.zone,
--- a/packages/pistachiospar/src/pistachiospar/platform/manifest.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/manifest.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from . import const
+from ..helpers.decoding import DECODE_ERRORS
 from ..routing.models import CallerLimits
 from ..routing.models import CallKind
 from ..routing.models import Route
@@ -103,8 +104,7 @@
             return Err(error)
         message = msgspec.json.decode(value, type=ConfigMessage)
         organisations = read_organisations(bytes(message.tenants))
-    except (msgspec.MsgspecError, ValueError, RecursionError) as invalid:
-        # Lists that are nested too deeply exhaust the decoder.
+    except (*DECODE_ERRORS, ValueError) as invalid:
         return Err(str(invalid))
     routes = tuple(read_route(route) for route in message.routes)
     upstreams = {s.name: read_upstream(s) for s in message.services}
@@ -123,7 +123,7 @@
     """Decode a trainer's named version; return the model and the version."""
     try:
         message = msgspec.json.decode(value, type=NamedVersionMessage)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(str(error))
     return Ok((message.model, message.version))
 
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -18,6 +18,7 @@
 from ..adapters.http.errors import HttpError
 from . import const
 from ..const import MEBIBYTE
+from ..helpers.decoding import DECODE_ERRORS
 from ..ports.sampler import InstanceLoad
 from ..ports.sampler import LimitListener
 from ..ports.sampler import LoadOrder
@@ -189,7 +190,7 @@
             if response.status != 200:
                 return Err(f"status {response.status}")
             message = msgspec.json.decode(response.body, type=ReportMessage)
-        except (HttpError, trio.TooSlowError, msgspec.MsgspecError) as error:
+        except (HttpError, trio.TooSlowError, *DECODE_ERRORS) as error:
             return Err(repr(error))
         return Ok(
             SamplerReport(
