End a stream only with what its samplers sent as its end

Cause: a 200 counted as the rest of the stream. Blocks without a number were left out silently, and a response without events as the empty rest. Items of submissions are read by the same code.

Change: a response without events ends a stream only if its head says text/event-stream. An event without a number and an encoded body break it. A stream without signature is refused as plain responses are.

Not found: an error's text or head within a stream; all other answers only broke the caller's stream off.

Looked at besides: plain responses, reports, orders, frames between gateways; items (same reader, mended, rows in features/platform.feature).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -42,6 +42,10 @@
       | a 500 response                             |
       | a stream                                   |
       | a stream whose weights change              |
+      | a stream of no events                      |
+      | an empty response in place of a stream     |
+      | a comment between events                   |
+      | an event without a number                  |
       | a stream truncated within an event         |
       | a stream that ends within an event         |
       | nothing, as its port is closed             |
--- /dev/null
+++ b/features/relay.feature
@@ -0,0 +1,37 @@
+Feature: Responses that samplers break off
+  Real connections on both sides of a gateway. A stream that broke off goes on
+  at the next sampler, or the caller sees that it is incomplete.
+
+  # Reported: an error's text in the middle of a stream, or a stream that ended
+  # as if it were complete, after the next sampler had answered with an error.
+  Scenario Outline: streams break off and the next sampler sends <answer>
+    When streams break off and the next sampler sends <answer>
+    Then callers get the whole response or see that it is none
+
+    Examples:
+      | answer |
+      | the rest |
+      | an error with a text |
+      | an error like an event |
+      | a refusal |
+      | a 503 that doesn't say it was not run |
+      | a 422 |
+      | a redirect |
+      | a plain 200 |
+      | a plain 200 of blocks |
+      | an empty 200 |
+      | a 204 |
+      | an empty 200 in chunks |
+      | a page |
+      | the stream from its start |
+      | a stream that skips an event |
+      | an event without a number |
+      | an event without a number, then the rest |
+      | a stream without signature |
+      | an encoded stream |
+      | the rest of another request |
+      | a head that is cut |
+      | a part of an event |
+      | a chunk that is cut |
+      | bytes that are not HTTP |
+      | nothing |
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,24 @@
+"""Step definitions for responses that samplers break off."""
+
+from behave.runner import Context
+from behave import then
+from behave import when
+from support import relay_cases
+
+
+@when("streams break off and the next sampler sends {answer}")
+def break_streams(context: Context, answer: str) -> None:
+    """Break streams off in several ways."""
+    context.problems = relay_cases.break_streams(answer)
+
+
+@when("a response with {framing} is cut and the sampler {ending}")
+def cut_responses(context: Context, framing: str, ending: str) -> None:
+    """Cut a response at each byte."""
+    context.problems = relay_cases.cut_responses(framing, ending)
+
+
+@then("callers get the whole response or see that it is none")
+def check_responses(context: Context) -> None:
+    """Check what callers got."""
+    assert not context.problems, "\n".join(context.problems)
--- a/features/support/response_cases.py
+++ b/features/support/response_cases.py
@@ -49,3 +49,27 @@
     is_stream: bool = False
     operation: str = "call"
     endless: bytes = b""
+
+
+EVENT_STREAM = b"Content-Type: text/event-stream\r\n"
+# Responses with few or no events.
+STREAM_CASES: dict[str, ResponseCase] = {
+    "a stream of no events": ResponseCase(
+        (make_stream().replace(b"\r\n", b"\r\n" + EVENT_STREAM, 1),),
+        ["4: end"],
+        is_stream=True,
+    ),
+    "an empty response in place of a stream": ResponseCase(
+        (make_response("c1", b""),), ["4: may have run"], is_stream=True
+    ),
+    "a comment between events": ResponseCase(
+        (make_stream(b"id: 1\ndata: a\n\n: wait\n\nid: 2\ndata: b\n\n"),),
+        ["4: 1 a", "2 b", "end"],
+        is_stream=True,
+    ),
+    "an event without a number": ResponseCase(
+        (make_stream(TWO_EVENTS[0], TWO_EVENTS[1], b"data: c\n\n"),),
+        ["4: 1 a", "2 b", "may have run"],
+        is_stream=True,
+    ),
+}
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -23,6 +23,7 @@
 from .response_cases import make_response
 from .response_cases import make_stream
 from .response_cases import ResponseCase
+from .response_cases import STREAM_CASES
 from .response_cases import TWO_EVENTS
 from .response_cases import UNFRAMED
 
@@ -85,6 +86,7 @@
     "a stream whose weights change": ResponseCase(
         (make_stream(*CHANGED),), ["4: 1 a", "2 b of 5", "end"], is_stream=True
     ),
+    **STREAM_CASES,
     "a stream truncated within an event": ResponseCase(
         (make_stream(TWO_EVENTS[0], end=False),),
         ["4: 1 a", "may have run"],
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
@@ -131,6 +131,7 @@
                         return
                     version = str(response.version)
                     headers.append(("Weight-Versions", version))
+                    headers.append(("Content-Type", "text/event-stream"))
                     await exchange.start(response.status, headers)
                     async for event in response.iter_events():
                         changed = b""
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -308,6 +308,8 @@
                 return False
             if response.status != STATUS_OK:
                 return await self._send_response(response, state, sink)
+            if not response.stamp:
+                raise UpstreamError("stream is not signed")
             state.may_have_run = True
             log_event(
                 "stream_attempt_started",
--- a/packages/pistachiospar/src/pistachiospar/platform/const.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/const.py
@@ -51,6 +51,8 @@
 HEADER_INSTANCE_LOAD: Final = "instance-load"
 # The pace in a load report of an instance where work takes its usual time.
 USUAL_PACE: Final = 100.0
+HEADER_CONTENT_ENCODING: Final = "content-encoding"
+MEDIA_TYPE_EVENTS: Final = "text/event-stream"
 HEADER_RESPONSE_STAMP: Final = "response-stamp"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-Id"
 MAX_EVENT_NUMBER_DIGITS: Final = 18
--- a/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -69,19 +69,33 @@
     async def iter_events(self) -> AsyncIterator[StreamEvent]:
         """Yield complete events.
 
-        Raises UpstreamError if the stream is truncated or an event too large.
+        Raises UpstreamError if the stream is truncated, an event is too large
+        or the body isn't one of events. An empty one is only where the head
+        says so: another response would look like the end of a stream.
         """
+        if const.HEADER_CONTENT_ENCODING in self._response.headers:
+            raise UpstreamError("stream is encoded")
         buffer = b""
+        is_event_stream = self._is_event_stream()
         async for chunk in self.iter_chunks():
             *blocks, buffer = (buffer + chunk).split(b"\n\n")
             for block in blocks:
                 event = _read_event(block)
                 if event is not None:
+                    is_event_stream = True
                     yield event
             if len(buffer) > MAX_EVENT_BYTES:
                 raise UpstreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         if buffer.strip():
             raise UpstreamError("stream ended within an event")
+        if not is_event_stream:
+            raise UpstreamError("response has no events and isn't a stream")
+
+    def _is_event_stream(self) -> bool:
+        """Return whether the head says that the body is a stream."""
+        content_type = self._response.headers.get("content-type", "")
+        media_type = content_type.partition(";")[0].strip().lower()
+        return media_type == const.MEDIA_TYPE_EVENTS
 
 
 def _read_number(text: str | None) -> int | None:
@@ -110,7 +124,10 @@
 
 
 def _read_event(block: bytes) -> StreamEvent | None:
-    """Parse one event, None if it has no number."""
+    """Parse one event, None for a comment.
+
+    Raises UpstreamError for an event without a number.
+    """
     number: int | None = None
     version: int | None = None
     data: list[str] = []
@@ -124,5 +141,7 @@
         elif name == const.HEADER_WEIGHT_VERSIONS:
             version = _read_number(value)
     if number is None:
-        return None
+        if all(line.startswith(b":") for line in block.splitlines() if line):
+            return None
+        raise UpstreamError("stream has an event without a number")
     return StreamEvent(number, "\n".join(data), version, block + b"\n\n")
