--- a/features/relay.feature
+++ b/features/relay.feature
@@ -35,3 +35,18 @@
       | a chunk that is cut |
       | bytes that are not HTTP |
       | nothing |
+
+  # Reported: a 200 with an empty or short body, framed as whole, after the
+  # sampler had stopped in the middle of its head.
+  Scenario Outline: a response with <framing> is cut and the sampler <ending>
+    When a response with <framing> is cut and the sampler <ending>
+    Then callers get the whole response or see that it is none
+
+    Examples:
+      | framing                    | ending |
+      | a length                   | closes |
+      | a length                   | resets |
+      | chunks                     | closes |
+      | chunks                     | resets |
+      | an end with the connection | closes |
+      | an end with the connection | resets |
