Answer every call that was read before a stop's grace ends

Cause: the drain waited for the calls in flight up to 1 s before the end of the grace, then ended the process; nothing bounded a call by that time.

Evidence: features/stop.feature on the code before, real processes, grace 5 s: 7 calls in the first case had run and got no answer, all with bodies that took 1.5 and 2.5 s or with 9 s of work; none of the others.

Change: from SIGTERM on, calls end by the end of the drain, with what is known of them: 503 if they have not run, else 502. What is left is answered 504. Once the load balancer sends nothing more, requests that may not be repeated are refused as not run, others if there is no time for them. The drain ends an eighth of the grace before it, at most 1 s: with a grace of 5 s it ended before the last sixth.

Looked at besides: steps and reads at a stop (in the cases; steps that wait for the store get the 504), the handover of pools, the drain of the entry (same cut, mended) and of the sidecar of the own deployment.

Not found: a call of up to 1.5 s, a read, a step or a stream that ends in time without an answer; a call that ran twice; a refusal of one that ran. Also with a grace of 8 s, two of three gateways at once, SIGHUP and two new configurations meanwhile, 240 new connections a second.

Regression rows: features/stop.feature, red: 5 failed; now 5 pass. Features bad_input, leaving, process_faults, start, admission, links, request_faults pass.

--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -134,6 +134,7 @@
         self._handler = handler
         self.limits = limits or ServerLimits()
         self._idle_scopes: set[trio.CancelScope] = set()
+        self._handler_scopes: set[trio.CancelScope] = set()
         self.is_stopping = False
         self.active_requests = 0
         self.open_connections = 0
@@ -145,6 +146,16 @@
         for scope in list(self._idle_scopes):
             scope.cancel()
 
+    def finish(self) -> int:
+        """End the requests in flight; return how many there are.
+
+        Callers without a response get one that says that the outcome isn't
+        known; responses that were started are broken off.
+        """
+        for scope in self._handler_scopes:
+            scope.cancel()
+        return len(self._handler_scopes)
+
     async def handle_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side closes it."""
         if self.open_connections >= self.limits.max_connections:
@@ -239,7 +250,15 @@
                 stream,
                 nursery.cancel_scope,
             )
-            await self._call_handler(request, exchange)
+            with trio.CancelScope() as scope:
+                self._handler_scopes.add(scope)
+                try:
+                    await self._call_handler(request, exchange)
+                finally:
+                    self._handler_scopes.discard(scope)
+            if scope.cancelled_caught and not exchange.is_started:
+                exchange.closes_connection = True
+                await exchange.send_problem(_ENDED_BY_STOP)
             nursery.cancel_scope.cancel()
 
     async def _call_handler(
@@ -348,6 +367,9 @@
         return False
 
 
+_ENDED_BY_STOP = Problem(504, "stopping", "the process stops", OUTCOME_UNKNOWN)
+
+
 def _build_request(head: h11.Request, body: bytes) -> HttpRequest:
     """Decode the head and join it with the body."""
     target = head.target.decode("ascii", "replace")
--- a/packages/pistachiospar/src/pistachiospar/entry/process.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/process.py
@@ -106,7 +106,8 @@
     async def _drain(self) -> None:
         """Release the lease, then wait for the active requests.
 
-        Requests that are still active after the drain time are interrupted.
+        Those that are still active after the drain time end without an
+        outcome.
         """
         log_event("draining", active=self._server.active_requests)
         self._draining = True
@@ -116,8 +117,9 @@
         with trio.move_on_after(self._settings.process.drain_s):
             while self._server.active_requests:
                 await trio.sleep(DRAIN_POLL_INTERVAL_S)
+        cut = self._server.finish()
         await trio.sleep(STOP_DELAY_S)
-        log_event("stopped", cut=self._server.active_requests)
+        log_event("stopped", cut=cut)
 
     def _save_new_bundle(self, folder: str) -> None:
         """Save the bundle in force if it is newer than the saved one."""
--- a/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/coordinator.py
@@ -58,6 +58,14 @@
         )
         self._metrics = metrics
         self._nursery: trio.Nursery | None = None
+        self._end_at = float("inf")
+        self._waiting: set[trio.CancelScope] = set()
+
+    def end_calls_by(self, at: float) -> None:
+        """Let all calls end by a time, with what is known of them then."""
+        self._end_at = at
+        for scope in self._waiting:
+            scope.deadline = min(scope.deadline, at)
 
     async def run(
         self,
@@ -90,12 +98,14 @@
         attempts = CallAttempts(call, sender, is_trial=is_trial)
         outcome: CallOutcome | None = None
         try:
-            with trio.move_on_at(call.give_up_at):
+            with trio.move_on_at(min(call.give_up_at, self._end_at)) as scope:
+                self._waiting.add(scope)
                 outcome = await self._loop.run(attempts, outcomes)
         except trio.Cancelled:
             attempts.set_deadline(float("-inf"))
             raise
         finally:
+            self._waiting.discard(scope)
             self._loop.withdraw(attempts)
         attempts.set_deadline(call.give_up_at + const.ATTEMPT_GRACE_S)
         if outcome is not None:
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -7,6 +7,10 @@
 # have failed; it sends one a second.
 DRAIN_NOTICE_S: Final = 2.5
 DRAIN_MARGIN_S: Final = 1.0
+# Calls are cut in the last sixth of the grace at the earliest.
+DRAIN_MARGIN_SHARE: Final = 0.125
+# The last answers are written within this time.
+DRAIN_FINISH_S: Final = 0.2
 # The last counts may be passed on up to this long before the grace ends.
 EXIT_MARGIN_S: Final = 0.4
 HANDOVER_TIMEOUT_S: Final = 1.5
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -30,6 +30,7 @@
 from .coordinator import GatewayCoordinator
 from .diagnostics import dump_gateway
 from .diagnostics import GatewayDump
+from .draining import choose_drain_margin_s
 from .models import GatewayIdentity
 from .reload import watch_settings
 
@@ -191,19 +192,30 @@
         log_event("draining", active=self._server.active_requests)
         started_at = trio.current_time()
         self._draining = True
+        grace_s = self._settings.grace_s
+        end_at = started_at + grace_s - choose_drain_margin_s(grace_s)
+        drain = self.coordinator.handler.drain
+        drain.answers_until = end_at
+        self.coordinator.forwarder.end_calls_by(end_at)
         with trio.move_on_after(
             compute_handover_limit_s(self._settings.grace_s)
         ):
             await self.coordinator.hand_over()
         await trio.sleep_until(started_at + const.DRAIN_NOTICE_S)
+        drain.is_closed = True
         self._server.stop()
-        end_at = started_at + self._settings.grace_s - const.DRAIN_MARGIN_S
-        while self._server.active_requests and trio.current_time() < end_at:
-            await trio.sleep(DRAIN_POLL_INTERVAL_S)
-        grace_end_at = started_at + self._settings.grace_s
+        await self._wait_for_answers(end_at)
+        cut = self._server.finish()
+        await self._wait_for_answers(end_at + const.DRAIN_FINISH_S)
+        grace_end_at = started_at + grace_s
         with trio.move_on_at(grace_end_at - const.EXIT_MARGIN_S):
             await self.coordinator.duties.finish()
-        log_event("stopped", cut=self._server.active_requests)
+        log_event("stopped", cut=cut)
+
+    async def _wait_for_answers(self, until: float) -> None:
+        """Wait until no request is in flight, or until a time."""
+        while self._server.active_requests and trio.current_time() < until:
+            await trio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
 def load_config_warnings() -> "type[ConfigWarnings]":
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -36,6 +36,7 @@
 from ..routing.models import Route
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
+from .draining import Drain
 from .refusals import RefusalSender
 from .refusals import STATUS_UNAUTHORIZED
 from .submission_calls import SubmissionHandler
@@ -60,6 +61,7 @@
         self._refuse = refusals.send
         self._key_rules = key_rules
         self._metrics = metrics
+        self.drain = Drain()
 
     async def handle(self, request: HttpRequest, exchange: CallerSink) -> None:
         """Serve one request."""
@@ -116,6 +118,11 @@
         if isinstance(found, KeyRefusal):
             await self._refuse(exchange, caller, _describe_refused_key(found))
             return
+        refusal = self.drain.explain_refusal(route, trio.current_time())
+        if refusal:
+            problem = refuse_not_run("stopping", refusal)
+            await self._refuse(exchange, caller, problem)
+            return
         organisation = name_organisation(table, found)
         if route.kind is CallKind.ROLLOUT:
             await self._submissions.accept(
