Pass the bytes of headers on as they came

Cause: the server decodes values as Latin-1, and the client gave the text to h11, which encodes ASCII. UnicodeEncodeError left the task of the attempt and ended the nursery of the process. Responses of samplers had the same fault in the server, where the caller got 500.

Evidence: the tracebacks of the new rows on the code before, 'ascii codec can't encode characters in position 1-2', for each of eight headers.

Change: headers are encoded as they were decoded, in requests and responses. What HTTP can't carry raises an error of its own; an item that is stored already ends as a failed result, reason unsendable.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -50,3 +50,19 @@
       | chunks                     | resets |
       | an end with the connection | closes |
       | an end with the connection | resets |
+
+  # A byte above 127 in any header of a request ended the gateway.
+  Scenario Outline: a caller sends <name> with letters outside ASCII
+    When a caller sends <name> with letters outside ASCII
+    Then the bytes arrive as they were sent, and the next call is served
+
+    Examples:
+      | name          |
+      | Shop          |
+      | Request-Id    |
+      | Model         |
+      | Prefix-Hash   |
+      | Authorization |
+      | Api-Key       |
+      | Content-Type  |
+      | Traceparent   |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -22,3 +22,15 @@
 def check_responses(context: Context) -> None:
     """Check what callers got."""
     assert not context.problems, "\n".join(context.problems)
+
+
+@when("a caller sends {name} with letters outside ASCII")
+def pass_header(context: Context, name: str) -> None:
+    """Send a header to a sampler and back."""
+    context.problems = relay_cases.pass_header(name)
+
+
+@then("the bytes arrive as they were sent, and the next call is served")
+def check_header(context: Context) -> None:
+    """Check what sampler and caller received."""
+    assert not context.problems, context.problems
--- a/features/support/relay_cases.py
+++ b/features/support/relay_cases.py
@@ -178,7 +178,7 @@
     """Request one stream; add what is wrong with it."""
     async with run_gateway([case.handle, case.handle]) as gateway:
         got = await send(gateway, path, "c1")
-    if got.status == 200 and not got.is_signed:
+    if got.status == 200 and b"response-stamp" not in got.headers:
         problems.append(f"{label}: a 200 without signature")
     if got.status == 200 and not WHOLE.startswith(got.body):
         problems.append(f"{label}: foreign bytes in {got.body!r}")
@@ -252,3 +252,44 @@
     A refusal would be wrong, too: the request may have run.
     """
     return got.status in (502, 504) and got.is_complete
+
+
+NON_ASCII = "Rīgas Šķirotava".encode()
+
+
+def pass_header(name: str) -> list[str]:
+    """Send a header beyond ASCII; return what is wrong with what arrived."""
+    return trio.run(_pass_header, name.encode())
+
+
+async def _pass_header(name: bytes) -> list[str]:
+    """Send the header to a sampler that sends it back."""
+    received: list[bytes] = []
+
+    async def handle(stream: trio.SocketStream) -> None:
+        async with stream:
+            headers = await receive_head(stream)
+            if headers is None:
+                return
+            value = headers.get(name.decode().lower(), "").encode("latin-1")
+            call_id = headers["request-id"].encode("latin-1")
+            received.append(value)
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: "
+                + call_id
+                + b"\r\nX-Back: "
+                + value
+                + b"\r\nContent-Length: 2\r\n\r\nok"
+            )
+
+    async with run_gateway([handle]) as gateway:
+        got = await send(gateway, SAFE, "c1", {name: NON_ASCII})
+        beside = await send(gateway, SAFE, "c2")
+    problems = []
+    if received[:1] != [NON_ASCII]:
+        problems.append(f"the sampler received {received}")
+    if got.status != 200 or got.headers.get(b"x-back") != NON_ASCII:
+        problems.append(f"the caller received {got}")
+    if beside.status != 200:
+        problems.append(f"the next call got {beside}")
+    return problems
--- a/features/support/relay_harness.py
+++ b/features/support/relay_harness.py
@@ -41,13 +41,13 @@
 class Received:
     """A response as a caller got it; status 0 without a whole head.
 
-    `is_signed` tells whether it has a sampler's signature.
+    `headers` has the bytes of each value by the name in lower case.
     """
 
     status: int
     body: bytes
     is_complete: bool
-    is_signed: bool
+    headers: dict[bytes, bytes]
 
 
 Sampler = Callable[[trio.SocketStream], Awaitable[None]]
@@ -101,20 +101,31 @@
         nursery.cancel_scope.cancel()
 
 
-async def send(gateway: Address, path: str, call_id: str) -> Received:
-    """Send a request on a new connection; return what came back."""
+async def send(
+    gateway: Address,
+    path: str,
+    call_id: str,
+    extra: dict[bytes, bytes] | None = None,
+) -> Received:
+    """Send a request on a new connection; return what came back.
+
+    Headers in `extra` replace those of the same name.
+    """
     stream = await trio.open_tcp_stream(gateway.host, gateway.port)
     connection = h11.Connection(h11.CLIENT)
-    headers = [
-        ("Host", HOST),
-        ("Request-Id", call_id),
-        ("Deadline-Ms", "1500"),
-        ("Content-Length", "0"),
-    ]
-    request = h11.Request(method="POST", target=path + "x", headers=headers)
+    headers = {
+        b"Host": HOST.encode(),
+        b"Request-Id": call_id.encode(),
+        b"Deadline-Ms": b"1500",
+        b"Content-Length": b"0",
+        **(extra or {}),
+    }
+    request = h11.Request(
+        method="POST", target=path + "x", headers=list(headers.items())
+    )
     data = connection.send(request) or b""
     data += connection.send(h11.EndOfMessage()) or b""
-    status, body, is_signed = 0, b"", False
+    status, body, found = 0, b"", dict[bytes, bytes]()
     async with stream:
         await stream.send_all(data)
         with trio.move_on_after(TIMEOUT_S):
@@ -130,14 +141,14 @@
                 match event:
                     case h11.Response():
                         status = event.status_code
-                        is_signed = b"response-stamp" in dict(event.headers)
+                        found = dict(event.headers)
                     case h11.Data():
                         body += bytes(event.data)
                     case h11.EndOfMessage():
-                        return Received(status, body, True, is_signed)
+                        return Received(status, body, True, found)
                     case h11.ConnectionClosed():
                         break
-    return Received(status, body, False, is_signed)
+    return Received(status, body, False, found)
 
 
 def reset(stream: trio.SocketStream) -> None:
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -27,6 +27,8 @@
 from .errors import ConnectionLostError
 from .errors import ConnectTimeoutError
 from .errors import ResponseTooLargeError
+from .errors import UnsendableError
+from .models import encode_headers
 from .models import Headers
 from .models import HttpResponse
 
@@ -180,10 +182,15 @@
     ) -> HttpStreamResponse:
         """Send a request; return its response without the body.
 
-        Raises ConnectionLostError and ResponseTooLargeError.
+        Raises UnsendableError, ConnectionLostError and ResponseTooLargeError.
         """
-        request = h11.Request(method=method, target=target, headers=headers)
-        data = self._h11.send(request) or b""
+        try:
+            request = h11.Request(
+                method=method, target=target, headers=encode_headers(headers)
+            )
+            data = self._h11.send(request) or b""
+        except (UnicodeEncodeError, h11.LocalProtocolError) as error:
+            raise UnsendableError(str(error)) from error
         data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
         try:
@@ -305,8 +312,9 @@
         """Send a request; read the response's body within the context.
 
         `new_connection` bypasses the pool. A Host among `headers` replaces
-        the pool's address. Raises ConnectError when nothing was sent and
-        ConnectionLostError when the connection ended too soon.
+        the pool's address. Raises ConnectError and UnsendableError when
+        nothing was sent and ConnectionLostError when the connection ended too
+        soon.
         """
         connection = (
             None if new_connection else self._pop_idle(trio.current_time())
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
@@ -19,3 +19,7 @@
 
 class ConnectionLostError(HttpError):
     """Loss of the connection before the response was complete."""
+
+
+class UnsendableError(HttpError):
+    """A request that HTTP can't carry; nothing was sent."""
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/models.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/models.py
@@ -8,6 +8,14 @@
 Headers: TypeAlias = list[tuple[str, str]]
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Encode headers as they were decoded: a value may have any byte.
+
+    Raises UnicodeEncodeError for text that came from elsewhere.
+    """
+    return [(n.encode("ascii"), v.encode("latin-1")) for n, v in headers]
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A complete request; the names in `headers` are in lower case.
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/server.py
@@ -23,6 +23,7 @@
 from .const import READ_TIMEOUT_S
 from .const import RECEIVE_CHUNK_BYTES
 from .errors import ConnectionLostError
+from .models import encode_headers
 from .models import Headers
 from .models import HttpRequest
 
@@ -95,7 +96,9 @@
         self.is_started = True
         if self.closes_connection or self._is_stopping():
             headers = [*headers, ("Connection", "close")]
-        response = h11.Response(status_code=status, headers=headers)
+        response = h11.Response(
+            status_code=status, headers=encode_headers(headers)
+        )
         self._head = self._connection.send(response) or b""
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -16,6 +16,7 @@
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
+from ..adapters.http.errors import UnsendableError
 from . import const
 from ..const import MEBIBYTE
 from ..helpers.decoding import DECODE_ERRORS
@@ -28,6 +29,7 @@
 from ..ports.sampler import SamplerReport
 from ..ports.upstream import UpstreamError
 from ..ports.upstream import UpstreamNotSentError
+from ..ports.upstream import UpstreamUnsendableError
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from .instances import HeldModelMessage
@@ -130,6 +132,8 @@
                 yield PlatformResponse(response, self._buffer, load)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
+        except UnsendableError as error:
+            raise UpstreamUnsendableError(str(error)) from error
         except HttpError as error:
             raise UpstreamError(str(error)) from error
 
--- a/packages/pistachiospar/src/pistachiospar/ports/upstream.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/upstream.py
@@ -16,6 +16,10 @@
     """Failure of a call that did not reach the upstream; it was not run."""
 
 
+class UpstreamUnsendableError(UpstreamNotSentError):
+    """A call that can't be sent to any instance, whatever its state."""
+
+
 class UpstreamLimitError(UpstreamNotSentError):
     """The instance's limit allows no further call now; none was sent.
 
--- a/packages/pistachiospar/src/pistachiospar/submissions/runner.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/runner.py
@@ -18,6 +18,7 @@
 from ..ports.upstream import UpstreamError
 from ..ports.upstream import UpstreamLimitError
 from ..ports.upstream import UpstreamNotSentError
+from ..ports.upstream import UpstreamUnsendableError
 from ..routing.instances import ListedInstance
 from ..routing.models import Route
 from ..telemetry.logs import log_event
@@ -101,6 +102,8 @@
                 )
         except UpstreamLimitError as error:
             state.not_before = trio.current_time() + error.wait_s
+        except UpstreamUnsendableError as error:
+            return fail_item(state, "unsendable", str(error))
         except UpstreamNotSentError as error:
             detail, severe = str(error), True
         except UpstreamError as error:
@@ -354,12 +357,13 @@
             await trio.sleep(max(pause_s, const.RETRY_DELAY_S))
 
 
-def fail_item(state: ItemState, reason: str) -> SampleResult:
+def fail_item(state: ItemState, reason: str, detail: str = "") -> SampleResult:
     """Log and return the result of an item that can't be completed."""
     log_event(
         "item_given_up",
         item=state.item.id,
         reason=reason,
+        detail=detail,
         errors=state.errors,
         score_errors=state.score_errors,
     )
