Refuse submissions with items that can't be sent

Cause: items were stored as they came; only the holder's HTTP client looked at their headers and paths.

Change: a submission is refused with a 400 that names the item's index and the header or path, before anything is stored. An item without id, data that is nested too deeply (500 before) and numbers that can't be stored are refused, too.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -94,6 +94,14 @@
       | tokens of an item without a prompt    |
       | a submission that is not JSON         |
       | a submission with a bad body          |
+      | an item with a header outside Latin-1 |
+      | an item with a line break in a header |
+      | an item with a Host                   |
+      | an item with a space in its path      |
+      | an item whose scoring call has a bad path |
+      | an item with a header in Latin-1      |
+      | a submission that is nested too deeply |
+      | a step that is too large to store     |
       | a request for results                 |
       | a request for results after no number |
       | a request to end                      |
--- a/features/support/platform_decoding.py
+++ b/features/support/platform_decoding.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import json
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -56,11 +57,17 @@
     request = HttpRequest("POST", "/p/", "", {"request-id": "r"}, body)
     read = read_submission(request, read_caller_headers(request), 0.0)
     if isinstance(read, Err):
-        return "refused"
+        return f"refused {read.err_value}"
     items = read.ok_value.items
     return f"{len(items)} items, {[i.expected_tokens for i in items]}"
 
 
+def add_to_item(**fields: object) -> bytes:
+    """Return a submission whose item differs in some fields."""
+    item = {"id": "a", "path": "/p/a", "body": "aGk=", **fields}
+    return json.dumps({"items": [item]}).encode()
+
+
 def decode_tokens(counts: bytes) -> str:
     """Return an item's tokens: prompt, expected output, largest output."""
     body = ITEM.replace(b"10,400", counts)
@@ -159,6 +166,40 @@
         lambda: decode_submission(ITEM.replace(b"aGk=", b"a!")),
         "refused",
     ),
+    "an item with a header outside Latin-1": (
+        lambda: decode_submission(add_to_item(headers={"Shop": "R\u012bga"})),
+        "refused items[0]: HTTP can't carry its header 'Shop'",
+    ),
+    "an item with a line break in a header": (
+        lambda: decode_submission(add_to_item(headers={"A": "b\r\nC: d"})),
+        "refused items[0]: HTTP can't carry its header 'A'",
+    ),
+    "an item with a Host": (
+        lambda: decode_submission(add_to_item(headers={"Host": "x"})),
+        "refused items[0]: HTTP can't carry its header 'Host'",
+    ),
+    "an item with a space in its path": (
+        lambda: decode_submission(add_to_item(path="/p/a b")),
+        "refused items[0]: HTTP can't carry its path",
+    ),
+    "an item whose scoring call has a bad path": (
+        lambda: decode_submission(
+            add_to_item(scorer={"id": "s", "host": "h", "path": "/\u016b"})
+        ),
+        "refused items[0]: HTTP can't carry its scorer's path",
+    ),
+    "an item with a header in Latin-1": (
+        lambda: decode_submission(add_to_item(headers={"Shop": "caf\xe9"})),
+        "1 items",
+    ),
+    "a submission that is nested too deeply": (
+        lambda: decode_submission(b'{"items":' + b"[" * 100_000),
+        "refused",
+    ),
+    "a step that is too large to store": (
+        lambda: decode_submission(b'{"items":[],"step":' + b"9" * 40 + b"}"),
+        "refused",
+    ),
     "a request for results": (
         lambda: decode_submission_request("GET", "/lots/a%20b?after=3"),
         "ResultsRequest(submission='a b', after=3, wait_s=1.0)",
--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -5,6 +5,7 @@
 import binascii
 from collections.abc import Collection
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import unquote
 
 import msgspec
@@ -13,12 +14,17 @@
 from result import Result
 
 from ..adapters.http.models import HttpRequest
+from ..adapters.http.validation import find_unsendable_part
 from . import const
+from ..helpers.decoding import DECODE_ERRORS
 from ..submissions.models import Item
 from ..submissions.models import ResultPage
 from ..submissions.models import ScoreCall
 from ..submissions.models import Submission
 
+# What can be stored; no trainer counts so far.
+Count = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
+
 _LENGTH_HINT = "length-hint"
 _TOKEN_COUNTS = "token-counts"
 _ORGANISATION_HEADERS = (const.HEADER_AUTHORIZATION, const.HEADER_TENANT)
@@ -49,10 +55,10 @@
     """A lot: the items that a consumer submits together."""
 
     items: list[ItemMessage]
-    step: int = 0
+    step: Count = 0
     model: str = ""
-    minVersion: int = 0
-    targetGroups: int = 0
+    minVersion: Count = 0
+    targetGroups: Count = 0
 
 
 class ResultMessage(msgspec.Struct):
@@ -212,8 +218,12 @@
     try:
         message = msgspec.json.decode(request.body, type=SubmissionMessage)
         items = [_read_item(item, dropped) for item in message.items]
-    except (msgspec.MsgspecError, binascii.Error) as error:
+    except (*DECODE_ERRORS, binascii.Error) as error:
         return Err(str(error))
+    for index, item in enumerate(items):
+        problem = _find_problem(item)
+        if problem:
+            return Err(f"items[{index}]: {problem}")
     return Ok(
         Submission(
             caller.id,
@@ -304,6 +314,25 @@
     )
 
 
+def _find_problem(item: Item) -> str:
+    """Return why an item or its scoring call can't be sent, empty if it can.
+
+    What is refused here is not stored: each holder would fail to run it.
+    """
+    if not item.id:
+        return "the id is empty"
+    part = find_unsendable_part(
+        item.path, [(const.HEADER_REQUEST_ID, item.id), *item.headers]
+    )
+    scorer = item.scorer
+    if not part and scorer is not None:
+        part = find_unsendable_part(
+            scorer.path, [(const.HEADER_REQUEST_ID, scorer.id)]
+        )
+        part = part and f"scorer's {part}"
+    return part and f"HTTP can't carry its {part}"
+
+
 def _sum_tokens(headers: dict[str, str]) -> int:
     """Return the tokens that a call is expected to read and generate."""
     prompt, _, output = headers.get(_TOKEN_COUNTS, "").partition(",")
