Share the results of a step among those who read them

Cause: for each reader a gateway held the results as it had got them, their encoding, and a copy with the head, until the last byte was sent.

Change: readers from the same position share the encoded results; an answer is sent in pieces; results that are being sent are bounded by a share of the memory, beyond which a read is refused before anything was sent. Gauge result_page_bytes. The response to a request has a module of its own.

Regression rows: features/submissions.feature, 'slow readers' (3), red with the sharing and the pieces taken out: 3 failed; now 3 pass.

--- a/bench/soak_duties.py
+++ b/bench/soak_duties.py
@@ -1,8 +1,8 @@
 """The interface for usage reports in a soak, and checks of its calls."""
 
 import msgspec
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.duties.models import DutyOutcome
 from pistachiospar.platform.cloud import UsageMessage
 from pistachiospar.platform import const
--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -6,6 +6,7 @@
 from support import commit_cases
 from support import guard_cases
 from support.seed_checks import check_seeds
+from support import slow_readers
 from support.submission_faults import STOP_FAULTS
 from support.submission_scenarios import run_scenario
 
@@ -74,3 +75,20 @@
 def check_guard(context: Context) -> None:
     """Check that the guard held."""
     assert context.guard_held
+
+
+@when("{count:d} callers read nothing of a step, from {positions:d} positions")
+def block_readers(context: Context, count: int, positions: int) -> None:
+    """Let a gateway hold at most ten pages."""
+    limit = 10 * slow_readers.PAGE_BYTES + 10_000
+    context.costs = slow_readers.block_readers(count, positions, limit)
+
+
+@then("{pages:d} pages are held and {refused:d} callers are refused")
+def check_pages(context: Context, pages: int, refused: int) -> None:
+    """Check the pages and that nothing else grows with the callers."""
+    grown, held, found = context.costs
+    page_bytes = slow_readers.PAGE_BYTES
+    assert round(held / page_bytes) == pages, held
+    assert found == refused, found
+    assert grown < pages * page_bytes + 50 * 200_000, grown
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -51,3 +51,14 @@
       | a smaller checkpoint leaves nothing of a larger one |
       | a late checkpoint replaces no newer one            |
       | a checkpoint of an earlier build is read |
+
+  # Each slow reader of a step cost a gateway three copies of its results.
+  Scenario Outline: <count> slow readers from <positions> positions
+    When <count> callers read nothing of a step, from <positions> positions
+    Then <pages> pages are held and <refused> callers are refused
+
+    Examples:
+      | count | positions | pages | refused |
+      | 50    | 1         | 1     | 0       |
+      | 50    | 9         | 9     | 0       |
+      | 12    | 1000      | 10    | 2       |
--- a/features/support/duty_cases.py
+++ b/features/support/duty_cases.py
@@ -8,8 +8,8 @@
 import tempfile
 
 from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.duties.guard import DutyGuard
 from pistachiospar.duties.models import DutyOutcome
--- a/features/support/stop_cases.py
+++ b/features/support/stop_cases.py
@@ -17,8 +17,8 @@
 import h11
 import msgspec
 from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.platform.callers import encode_submission
 from pistachiospar.platform import const
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/engine/server.py
@@ -5,8 +5,8 @@
 import msgspec
 from pistachiospar.adapters.engine import const
 from pistachiospar.adapters.engine import models
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.adapters.weight_store.client import HttpWeightFetcher
 from result import Err
 import trio
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/instances/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/instances/server.py
@@ -3,8 +3,8 @@
 import time
 
 import msgspec
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.adapters.instance_list.const import PATH_INSTANCES
 from pistachiospar.ports.instances import Instance
 import trio
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/kv/server.py
@@ -5,8 +5,8 @@
 import msgspec
 from pistachiospar.adapters.etcd import const
 from pistachiospar.adapters.etcd import models
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.ports.kv import KvCheck
 from pistachiospar.ports.kv import KvPut
 from pistachiospar.ports.kv import KvTransaction
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
@@ -2,9 +2,9 @@
 
 import msgspec
 from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import Headers
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.platform import const
 from pistachiospar.platform.samplers import OrderMessage
 from pistachiospar.ports.sampler import LoadOrder
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/store.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/store.py
@@ -5,8 +5,8 @@
 
 import msgspec
 from pistachiospar.adapters.etcd.models import compute_prefix_end
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.platform import const
 from pistachiospar.platform import store as messages
 from pistachiospar.ports.kv import KvCheck
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/serving/models.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/serving/models.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 import msgspec
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 from pistachiospar.const import CONTENT_TYPE_JSON
 
 PATH_FAULTS: Final = "/admin/faults"
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/weights/server.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/weights/server.py
@@ -4,8 +4,8 @@
 from collections import deque
 
 import msgspec
+from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
-from pistachiospar.adapters.http.server import Exchange
 import trio
 
 from ..serving.models import handle_fault_request
--- a/packages/pistachiospar/src/pistachiospar/adapters/entry_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/entry_peer/server.py
@@ -14,8 +14,8 @@
 from ...trainers.models import JobsOrder
 from ...trainers.runner import JobRunner
 from . import const
+from ..http.exchange import Exchange
 from ..http.models import HttpRequest
-from ..http.server import Exchange
 
 ForwardedCallHandler = Callable[[HttpRequest, Exchange], Awaitable[None]]
 
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/server.py
@@ -20,8 +20,8 @@
 from ...watch_relay.messages import FollowCall
 from ...watch_relay.messages import FollowReply
 from . import const
+from ..http.exchange import Exchange
 from ..http.models import HttpRequest
-from ..http.server import Exchange
 
 FollowServer = Callable[[FollowCall], Awaitable[FollowReply | None]]
 LocalResultsReader = Callable[
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -22,8 +22,8 @@
 from ...sidecar.coordinator import SidecarCoordinator
 from . import const
 from ..http.client import Address
+from ..http.exchange import Exchange
 from ..http.models import HttpRequest
-from ..http.server import Exchange
 from .control import FrameError
 from .control import FrameStream
 
--- a/packages/pistachiospar/src/pistachiospar/admin/server.py
+++ b/packages/pistachiospar/src/pistachiospar/admin/server.py
@@ -5,8 +5,8 @@
 import msgspec
 import trio
 
+from ..adapters.http.exchange import Exchange
 from ..adapters.http.models import HttpRequest
-from ..adapters.http.server import Exchange
 from . import const
 from ..const import CONTENT_TYPE_JSON
 from ..helpers.explanations import Explanations
--- a/packages/pistachiospar/src/pistachiospar/gateway/const.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/const.py
@@ -31,6 +31,8 @@
 RESERVED_DESCRIPTORS: Final = 300
 # Share of the memory limit in the settings for bodies that are being read.
 BODY_BUFFER_SHARE: Final = 0.3
+# Share for results that are being sent.
+RESULT_PAGE_SHARE: Final = 0.15
 GC_THRESHOLD: Final = 50_000
 # A gateway knows its configuration within about 10 ms of its start.
 STARTUP_TIMEOUT_S: Final = 0.4
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -91,13 +91,10 @@
         `duty_client` is needed only with duties.
         """
         self.identity = identity
-        self.metrics = Metrics()
+        metrics = self.metrics = Metrics()
         self._keys = keys
         self.limits = InstanceLimits(
-            identity.name,
-            lambda: self.holders.list_members(),
-            peer,
-            self.metrics,
+            identity.name, lambda: self.holders.list_members(), peer, metrics
         )
         self._samplers = LimitedSamplerClient(
             samplers,
@@ -107,9 +104,11 @@
         )
         self._clocks = clocks
         self._rng = rng
-        incarnation = token_hex(const.INCARNATION_BYTES)
         record = HolderRecord(
-            identity.name, identity.peer, incarnation, identity.zone
+            identity.name,
+            identity.peer,
+            token_hex(const.INCARNATION_BYTES),
+            identity.zone,
         )
         self.kv: KeyValue = RelayedKeyValue(
             direct_kv,
@@ -247,6 +246,7 @@
                 refusals,
                 clocks.read_wall_s,
                 self.metrics,
+                identity.max_page_bytes,
             ),
             refusals,
             identity.key_rules,
--- a/packages/pistachiospar/src/pistachiospar/gateway/models.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/models.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from ..const import MEBIBYTE
 from ..duties.models import DutySettings
 from ..organisations.models import KeyRules
 
@@ -17,7 +18,7 @@
     still be read, `cpu_capacity` how much of a core it has. `is_first_start`
     is set when all gateways start together for the first time. `key_rules`
     say by how old a configuration keys are checked. `duties` is None when
-    there are none.
+    there are none. `max_page_bytes` bounds the results that are being sent.
     """
 
     name: str
@@ -30,3 +31,4 @@
     is_first_start: bool = False
     key_rules: KeyRules = field(default_factory=KeyRules)
     duties: DutySettings | None = None
+    max_page_bytes: int = 64 * MEBIBYTE
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -9,8 +9,8 @@
 from ..adapters.gateway_peer.client import HttpGatewayPeer
 from ..adapters.gateway_peer.server import GatewayPeerHandler
 from ..adapters.http.client import Address
+from ..adapters.http.exchange import Exchange
 from ..adapters.http.models import HttpRequest
-from ..adapters.http.server import Exchange
 from ..adapters.http.server import HttpServer
 from . import const
 from ..const import MEBIBYTE
@@ -67,6 +67,9 @@
                 settings.is_first_start,
                 make_key_rules(settings.config_apply_s, settings.revoke_s),
                 duties=settings.duties,
+                max_page_bytes=int(
+                    settings.memory_mb * MEBIBYTE * const.RESULT_PAGE_SHARE
+                ),
             ),
             PLATFORM_KEYS,
             direct_kv,
--- a/packages/pistachiospar/src/pistachiospar/gateway/routes.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/routes.py
@@ -58,9 +58,12 @@
         self._directory = directory
         self._forwarder = forwarder
         self._submissions = submissions
+        self._metrics = metrics
+        metrics.add_gauge(
+            "result_page_bytes", lambda: float(submissions.pages.count_bytes())
+        )
         self._refuse = refusals.send
         self._key_rules = key_rules
-        self._metrics = metrics
         self.drain = Drain()
 
     async def handle(self, request: HttpRequest, exchange: CallerSink) -> None:
--- a/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
@@ -17,7 +17,6 @@
 from ..helpers.problems import report_unknown_outcome
 from ..organisations.decisions import may_access
 from ..platform.callers import CallerHeaders
-from ..platform.callers import encode_results
 from ..platform.callers import EndRequest
 from ..platform.callers import ItemBodyRequest
 from ..platform.callers import read_submission
@@ -34,6 +33,7 @@
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .refusals import RefusalSender
+from .result_pages import ResultPages
 
 _JSON_HEADERS: Headers = [("Content-Type", CONTENT_TYPE_JSON)]
 
@@ -48,8 +48,13 @@
         refusals: RefusalSender,
         read_wall_s: Callable[[], float],
         metrics: Metrics,
+        max_page_bytes: int,
     ) -> None:
-        """Initialize; `read_wall_s` returns Unix time."""
+        """Initialize; `read_wall_s` returns Unix time.
+
+        `max_page_bytes` bounds the results that are being sent.
+        """
+        self.pages = ResultPages(max_page_bytes)
         self._archive = archive
         self._reader = reader
         self._refuse = refusals.send
@@ -191,8 +196,17 @@
                 exchange, caller, _UNKNOWN_SUBMISSION, call.submission
             )
         else:
-            body = encode_results(found.ok_value, call.after)
-            await exchange.send_response(200, _JSON_HEADERS, body)
+            page = self.pages.encode(
+                call.submission, found.ok_value, call.after
+            )
+            # Only the encoded page is held while it is sent.
+            del found
+            if page is None:
+                detail = "too many results are being read"
+                problem = refuse_not_run("busy", detail)
+                await self._refuse(exchange, caller, problem, call.submission)
+                return
+            await exchange.send_response(200, _JSON_HEADERS, page.body)
 
     async def _serve_body(
         self,
