--- a/features/relay.feature
+++ b/features/relay.feature
@@ -66,3 +66,15 @@
       | Api-Key       |
       | Content-Type  |
       | Traceparent   |
+
+  # For longer runs: features/support/fuzz_cases.py, run_seed. No byte that
+  # callers, samplers or writers of the store bring may end a gateway.
+  Scenario Outline: random <fed>
+    Then <count> seeds of random <fed> end no gateway
+
+    Examples:
+      | fed                          | count |
+      | heads and bodies of requests | 6     |
+      | submissions                  | 6     |
+      | responses of samplers        | 6     |
+      | entries of the store         | 10    |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -3,7 +3,11 @@
 from behave.runner import Context
 from behave import then
 from behave import when
+from support import fuzz_cases
 from support import relay_cases
+from support.seed_checks import check_seeds
+
+FUZZ_SEED = 20261205
 
 
 @when("streams break off and the next sampler sends {answer}")
@@ -34,3 +38,9 @@
 def check_header(context: Context) -> None:
     """Check what sampler and caller received."""
     assert not context.problems, context.problems
+
+
+@then("{count:d} seeds of random {fed} end no gateway")
+def feed_gateways(context: Context, count: int, fed: str) -> None:
+    """Feed gateways; hypothesis draws the same seeds in each run."""
+    check_seeds(count, FUZZ_SEED, lambda seed: fuzz_cases.run_seed(fed, seed))
--- a/features/support/relay_harness.py
+++ b/features/support/relay_harness.py
@@ -10,7 +10,6 @@
 
 import h11
 import msgspec
-from pistachiospar.adapters.http.client import Address
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.gateway.models import GatewayIdentity
@@ -35,6 +34,7 @@
 TIMEOUT_S = 8.0
 # Paths by kind: repeatable, at most once, resumable and not.
 SAFE, UNSAFE, RESUMABLE, STREAM = "/safe/", "/once/", "/resume/", "/stream/"
+ROLLOUT = "/roll/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +50,15 @@
     headers: dict[bytes, bytes]
 
 
+@dataclass(frozen=True, slots=True)
+class RelayGateway:
+    """Where a gateway listens, and the fleet that has its store."""
+
+    host: str
+    port: int
+    fleet: GatewayFleet
+
+
 Sampler = Callable[[trio.SocketStream], Awaitable[None]]
 
 
@@ -62,6 +71,8 @@
         | {"stream": True, "resumable": True},
         make_route(HOST, "stream", STREAM, "safe", POOL)
         | {"stream": True, "resumable": False},
+        make_route(HOST, "roll", ROLLOUT, "rollout", POOL)
+        | {"resultDueMs": 7500, "maxAgeS": 40},
     ]
     services = [
         {"name": POOL, "maxConns": 100, "engine": {"models": [{"name": "m"}]}}
@@ -72,8 +83,8 @@
 
 
 @asynccontextmanager
-async def run_gateway(samplers: list[Sampler]) -> AsyncIterator[Address]:
-    """Serve callers with a gateway before some samplers; yield its address."""
+async def run_gateway(samplers: list[Sampler]) -> AsyncIterator[RelayGateway]:
+    """Serve callers with a gateway before some samplers."""
     fleet = GatewayFleet(GatewayPlan(gateways=0, samplers=0, apps=0))
     fleet.store.write(const.KEY_CONFIG, _make_configuration(), 0, 0.0)
     async with AsyncExitStack() as stack:
@@ -95,14 +106,15 @@
         nursery = await stack.enter_async_context(trio.open_nursery())
         await nursery.start(coordinator.run)
         server = HttpServer(coordinator.handler.handle)
-        yield await stack.enter_async_context(
+        address = await stack.enter_async_context(
             serve_loopback(server.handle_connection)
         )
+        yield RelayGateway(address.host, address.port, fleet)
         nursery.cancel_scope.cancel()
 
 
 async def send(
-    gateway: Address,
+    gateway: RelayGateway,
     path: str,
     call_id: str,
     extra: dict[bytes, bytes] | None = None,
