--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,7 @@
 import urllib.request
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.sidecar_link.client import NetworkSidecarLink
 from pistachiospar.link.codec import encode_message
 from pistachiospar.link.messages import Heartbeat
--- a/bench/farm.py
+++ b/bench/farm.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from pistachiospar.adapters.etcd.client import EtcdKeyValue
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.adapters.sidecar_link.server import serve_control
 from pistachiospar.adapters.sidecar_link.server import SidecarHandler
--- a/bench/path.py
+++ b/bench/path.py
@@ -9,8 +9,8 @@
 import tempfile
 import time
 
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.client import HttpPool
-from pistachiospar.adapters.http.client import parse_address
 from pistachiospar.adapters.http.models import Headers
 import trio
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -36,7 +36,7 @@
 from tempfile import TemporaryDirectory
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.client import HttpPool
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.adapters.http.models import HttpRequest
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.client import HttpPool
 from pistachiospar.adapters.http.errors import ConnectError
 from pistachiospar.adapters.http.errors import HttpError
--- a/bench/soak_proxy.py
+++ b/bench/soak_proxy.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 import trio
 
 
--- a/bench/soak_streams.py
+++ b/bench/soak_streams.py
@@ -6,7 +6,7 @@
 from dataclasses import field
 from random import Random
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.client import HttpPool
 from pistachiospar.adapters.http.errors import ConnectError
 from pistachiospar.adapters.http.errors import HttpError
--- a/features/support/call_policies.py
+++ b/features/support/call_policies.py
@@ -4,7 +4,7 @@
 from contextlib import ExitStack
 from random import Random
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.costs.models import CallClass
 from pistachiospar.forwarding.admission import estimate_availability
 from pistachiospar.forwarding.admission import may_wait
--- a/features/support/choice_comparison.py
+++ b/features/support/choice_comparison.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.costs.models import CallClass
 from pistachiospar.forwarding.choice import choose_instance
 from pistachiospar.forwarding.health import InstanceHealth
--- a/features/support/duty_cases.py
+++ b/features/support/duty_cases.py
@@ -7,7 +7,7 @@
 import json
 import tempfile
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.server import HttpServer
--- a/features/support/foreign_entries.py
+++ b/features/support/foreign_entries.py
@@ -5,7 +5,7 @@
 
 import json
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.client import HttpPool
 from pistachiospar.adapters.http.errors import ConnectError
 from pistachiospar.platform.instances import read_instance
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -9,7 +9,7 @@
 import zlib
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.ports.kv import KvEvent
--- a/features/support/kv_contract.py
+++ b/features/support/kv_contract.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from pistachiospar.adapters.etcd.client import EtcdKeyValue
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.platform.store import PlatformKeyValue
 from pistachiospar.ports.kv import KeyValue
--- a/features/support/memory_cases.py
+++ b/features/support/memory_cases.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.ports.sampler import SamplerReport
 from pistachiospar.routing.instances import ListedInstance
 from pistachiospar.submissions.allocation import SlotAllocator
--- a/features/support/organisation_decisions.py
+++ b/features/support/organisation_decisions.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.models import Headers
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.crashes.fingerprints import compute_fingerprint
--- a/features/support/permit_cases.py
+++ b/features/support/permit_cases.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.limits.keeper import PermitKeeper
 from pistachiospar.limits.messages import PermitCall
 from pistachiospar.limits.permits import count_usable_slots
--- a/features/support/policy_cases.py
+++ b/features/support/policy_cases.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from random import Random
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.forwarding.health import InstanceHealth
 from pistachiospar.kv_access.peer_order import PeerOrder
 from pistachiospar.pool_holders.coordinator import choose_candidacy_delay_s
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -7,7 +7,7 @@
 from dataclasses import field
 from unittest.mock import patch
 
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.platform.samplers import PlatformSamplerClient
 from pistachiospar.ports.sampler import LoadOrder
 from pistachiospar.ports.sampler import SamplerCall
--- a/features/support/usage_scenarios.py
+++ b/features/support/usage_scenarios.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.duties.models import DutySettings
 from pistachiospar.gateway.coordinator import GatewayCoordinator
 from pistachiospar.platform.cloud import UsageMessage
--- a/packages/pistachioctl/src/pistachioctl/bundles.py
+++ b/packages/pistachioctl/src/pistachioctl/bundles.py
@@ -7,7 +7,7 @@
 import time
 
 from pistachiospar.adapters.etcd.client import EtcdKeyValue
-from pistachiospar.adapters.http.client import parse_address
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.bundle.config import validate_bundle
 from pistachiospar.bundle.models import Bundle
 from pistachiospar.bundle.rolling import BundleRoller
--- a/packages/pistachioctl/src/pistachioctl/cli.py
+++ b/packages/pistachioctl/src/pistachioctl/cli.py
@@ -7,7 +7,7 @@
 import sys
 
 from pistachiospar import __version__
-from pistachiospar.adapters.http.client import parse_address
+from pistachiospar.adapters.http.address import parse_address
 import trio
 
 from . import bundles
--- a/packages/pistachioctl/src/pistachioctl/configurations.py
+++ b/packages/pistachioctl/src/pistachioctl/configurations.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from pistachiospar.adapters.http.client import parse_address
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.bundle.config import find_bundle_warnings
 from pistachiospar.bundle.config import validate_bundle
 from pistachiospar.helpers.findings import Findings
--- a/packages/pistachioctl/src/pistachioctl/processes.py
+++ b/packages/pistachioctl/src/pistachioctl/processes.py
@@ -4,8 +4,8 @@
 
 import msgspec
 from pistachiospar.adapters.etcd.client import EtcdKeyValue
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.client import HttpPool
-from pistachiospar.adapters.http.client import parse_address
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.live_state.const import PREFIX_ENTRIES
 from pistachiospar.live_state.models import EntryRecord
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/__main__.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/__main__.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgspec
-from pistachiospar.adapters.http.client import parse_address
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar.const import EXIT_BAD_INPUT
 from pistachiospar.helpers.jsonc import read_document
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/caller/client.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/caller/client.py
@@ -5,8 +5,8 @@
 from dataclasses import field
 
 import msgspec
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.client import HttpPool
-from pistachiospar.adapters.http.client import parse_address
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.adapters.http.models import Headers
 from pistachiospar.adapters.http.models import HttpResponse
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/entry_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/entry_fleet.py
@@ -9,7 +9,7 @@
 from typing import TypeVar
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.bundle.coordinator import BundleKeeper
 from pistachiospar.bundle.models import Bundle
 from pistachiospar.bundle.models import UpstreamKind
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/platform/sampler.py
@@ -1,7 +1,7 @@
 """HTTP handler of a sampler, with the platform's protocol."""
 
 import msgspec
-from pistachiospar.adapters.http.client import Address
+from pistachiospar.adapters.http.address import Address
 from pistachiospar.adapters.http.exchange import Exchange
 from pistachiospar.adapters.http.models import Headers
 from pistachiospar.adapters.http.models import HttpRequest
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/trainer/client.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/trainer/client.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 import msgspec
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.client import HttpPool
-from pistachiospar.adapters.http.client import parse_address
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.adapters.http.models import HttpResponse
 from pistachiospar.trainers.models import PullResponse
--- a/packages/pistachiospar/src/pistachiospar/adapters/entry_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/entry_peer/client.py
@@ -13,9 +13,9 @@
 from ...trainers.models import JobDone
 from ...trainers.models import JobsOrder
 from . import const
+from ..http.address import parse_address
 from ..http.client import HttpPool
 from ..http.client import HttpStreamResponse
-from ..http.client import parse_address
 from ..http.errors import HttpError
 from ..http.models import HttpResponse
 
--- a/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/etcd/client.py
@@ -19,7 +19,7 @@
 from ...ports.kv import KvWriteResult
 from ...ports.kv import WATCH_POLL_TIMEOUT_S
 from . import const
-from ..http.client import Address
+from ..http.address import Address
 from ..http.client import HttpPool
 from ..http.errors import ConnectError
 from ..http.errors import HttpError
--- a/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/gateway_peer/client.py
@@ -26,8 +26,8 @@
 from ...watch_relay.messages import FollowCall
 from ...watch_relay.messages import FollowReply
 from . import const
+from ..http.address import parse_address
 from ..http.client import HttpPool
-from ..http.client import parse_address
 from ..http.errors import ConnectError
 from ..http.errors import ConnectTimeoutError
 from ..http.errors import HttpError
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -2,21 +2,18 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 import re
 import socket
 
 import h11
 import trio
 
+from .address import Address
 from .const import CONNECT_TIMEOUT_S
 from .const import KEEP_ALIVE_MARGIN_S
 from .const import MAX_BUFFERED_RESPONSE_BYTES
-from .const import MAX_HOST_NAME_CHARACTERS
 from .const import MAX_INFORMATIONAL_RESPONSES
-from .const import MAX_PORT
 from .const import MAX_RESPONSE_BYTES
-from .const import MAX_SHOWN_CHARACTERS
 from .const import MAX_TINY_CHUNKS
 from .const import POOL_IDLE_TIMEOUT_S
 from .const import POOL_MAX_IDLE_CONNECTIONS
@@ -33,53 +30,9 @@
 from .models import HttpResponse
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    """IP address and TCP port of a process."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return `host:port`."""
-        return f"{self.host}:{self.port}"
-
-
-_HOST_LABEL = "[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
-_HOST_NAME_PATTERN = re.compile(rf"{_HOST_LABEL}(\.{_HOST_LABEL})*\.?")
-_PORT_PATTERN = re.compile("[0-9]{1,5}")
 _KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout\s*=\s*(\d+)")
 
 
-def parse_address(text: str) -> Address:
-    """Parse `host:port` with an IP address or a host name as the host.
-
-    Raises ValueError. An IPv6 address may be in brackets.
-    """
-    host, _, port = text.rpartition(":")
-    if host.startswith("[") and host.endswith("]"):
-        host = host[1:-1]
-    if not _is_ip_address(host) and (
-        len(host) > MAX_HOST_NAME_CHARACTERS
-        or not _HOST_NAME_PATTERN.fullmatch(host)
-    ):
-        raise ValueError(f"{text[:MAX_SHOWN_CHARACTERS]!r} has no valid host")
-    if not _PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
-        raise ValueError(f"{text[:MAX_SHOWN_CHARACTERS]!r} has no valid port")
-    return Address(host, int(port))
-
-
-def _is_ip_address(host: str) -> bool:
-    """Return whether a host is an IPv4 or IPv6 address."""
-    for family in (socket.AF_INET, socket.AF_INET6):
-        try:
-            socket.inet_pton(family, host)
-        except (OSError, ValueError):
-            continue
-        return True
-    return False
-
-
 class HttpStreamResponse:
     """Response whose head was received and whose body is read on demand.
 
--- a/packages/pistachiospar/src/pistachiospar/adapters/instance_list/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/instance_list/client.py
@@ -8,7 +8,7 @@
 
 from ...ports.instances import Instance
 from ...ports.instances import InstanceListSnapshot
-from ..http.client import Address
+from ..http.address import Address
 from ..http.client import HttpPool
 from ..http.errors import HttpError
 from ..http.models import Headers
--- a/packages/pistachiospar/src/pistachiospar/adapters/plain/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/plain/client.py
@@ -7,7 +7,7 @@
 from ...ports.upstream import UpstreamError
 from ...ports.upstream import UpstreamNotSentError
 from . import const
-from ..http.client import Address
+from ..http.address import Address
 from ..http.client import HttpPool
 from ..http.client import HttpStreamResponse
 from ..http.errors import ConnectError
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/client.py
@@ -26,7 +26,7 @@
 from ...link.reply_types import expect_settlement
 from ...link.reply_types import expect_status
 from . import const
-from ..http.client import Address
+from ..http.address import Address
 from ..http.client import HttpPool
 from ..http.client import HttpStreamResponse
 from ..http.errors import ConnectError
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/control.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/control.py
@@ -13,7 +13,7 @@
 from ...link.messages import ControlReply
 from ...link.messages import ControlRequest
 from . import const
-from ..http.client import Address
+from ..http.address import Address
 
 
 class FrameError(Exception):
--- a/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/sidecar_link/server.py
@@ -21,7 +21,7 @@
 from ...link.messages import SettleOrder
 from ...sidecar.coordinator import SidecarCoordinator
 from . import const
-from ..http.client import Address
+from ..http.address import Address
 from ..http.exchange import Exchange
 from ..http.models import HttpRequest
 from .control import FrameError
--- a/packages/pistachiospar/src/pistachiospar/adapters/weight_store/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/weight_store/client.py
@@ -5,8 +5,8 @@
 from result import Result
 import trio
 
+from ..http.address import parse_address
 from ..http.client import HttpPool
-from ..http.client import parse_address
 from ..http.errors import HttpError
 from .const import FETCH_TIMEOUT_S
 from .const import URL_SCHEME
--- a/packages/pistachiospar/src/pistachiospar/duties/models.py
+++ b/packages/pistachiospar/src/pistachiospar/duties/models.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 from . import const
 
 
--- a/packages/pistachiospar/src/pistachiospar/entry/process.py
+++ b/packages/pistachiospar/src/pistachiospar/entry/process.py
@@ -10,7 +10,7 @@
 from ..adapters.entry_peer.client import HttpEntryPeer
 from ..adapters.entry_peer.server import EntryPeerHandler
 from ..adapters.etcd.client import EtcdKeyValue
-from ..adapters.http.client import parse_address
+from ..adapters.http.address import parse_address
 from ..adapters.http.server import HttpServer
 from ..adapters.instance_list.client import HttpInstanceList
 from ..adapters.sidecar_link.client import NetworkSidecarLink
--- a/packages/pistachiospar/src/pistachiospar/gateway/process.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/process.py
@@ -8,7 +8,7 @@
 
 from ..adapters.gateway_peer.client import HttpGatewayPeer
 from ..adapters.gateway_peer.server import GatewayPeerHandler
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 from ..adapters.http.exchange import Exchange
 from ..adapters.http.models import HttpRequest
 from ..adapters.http.server import HttpServer
--- a/packages/pistachiospar/src/pistachiospar/limits/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/limits/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 from ..routing.instances import InstanceLifetime
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/instances.py
@@ -9,7 +9,7 @@
 from result import Ok
 from result import Result
 
-from ..adapters.http.client import parse_address
+from ..adapters.http.address import parse_address
 from . import const
 from ..helpers.decoding import DECODE_ERRORS
 from ..routing.instances import ListedInstance
--- a/packages/pistachiospar/src/pistachiospar/platform/settings.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/settings.py
@@ -8,8 +8,8 @@
 from result import Ok
 from result import Result
 
-from ..adapters.http.client import Address
-from ..adapters.http.client import parse_address
+from ..adapters.http.address import Address
+from ..adapters.http.address import parse_address
 from . import const
 from ..duties.const import DEFAULT_CALLS_PER_S
 from ..duties.models import DutySettings
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -11,7 +11,7 @@
 from result import Result
 import trio
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 from ..adapters.http.client import HttpPool
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import HttpError
--- a/packages/pistachiospar/src/pistachiospar/process/listening.py
+++ b/packages/pistachiospar/src/pistachiospar/process/listening.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 from ..adapters.http.server import HttpServer
 from ..telemetry.logs import log_event
 from .const import LISTEN_BACKLOG
--- a/packages/pistachiospar/src/pistachiospar/routing/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/instances.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pistachiospar/src/pistachiospar/settings/config.py
+++ b/packages/pistachiospar/src/pistachiospar/settings/config.py
@@ -8,8 +8,8 @@
 from pydantic import Field
 from result import Result
 
-from ..adapters.http.client import Address
-from ..adapters.http.client import parse_address
+from ..adapters.http.address import Address
+from ..adapters.http.address import parse_address
 from ..bundle.config import Name
 from . import const
 from ..helpers.findings import Findings
--- a/packages/pistachiospar/src/pistachiospar/settings/models.py
+++ b/packages/pistachiospar/src/pistachiospar/settings/models.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..adapters.http.client import Address
+from ..adapters.http.address import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/scripts/acceptance.py
+++ b/scripts/acceptance.py
@@ -18,8 +18,8 @@
 import urllib.request
 
 import msgspec
+from pistachiospar.adapters.http.address import parse_address
 from pistachiospar.adapters.http.client import HttpPool
-from pistachiospar.adapters.http.client import parse_address
 from pistachiospar.adapters.http.errors import HttpError
 from pistachiospar.trainers.models import Group
 from pistachiospar.trainers.models import StepBody
