--- a/packages/pistachiospar/src/pistachiospar/platform/callers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/callers.py
@@ -22,7 +22,7 @@
 from ..submissions.models import ScoreCall
 from ..submissions.models import Submission
 
-# What can be stored; no trainer counts so far.
+# Larger integers can't be stored.
 Count = Annotated[int, msgspec.Meta(ge=-(2**53), le=2**53)]
 
 _LENGTH_HINT = "length-hint"
