--- a/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
@@ -120,9 +120,9 @@
         One attempt with unknown outcome decides over others that had no
         effect for certain.
         """
-        doubts: list[messages.KvReply] = []
+        unknown: list[messages.KvReply] = []
         if not self._may_call_directly(call):
-            relayed = await self._relay_call(call, doubts)
+            relayed = await self._relay_call(call, unknown)
             if relayed is not None:
                 return _unwrap_reply(relayed)
         if isinstance(call, messages.RenewCall):
@@ -131,9 +131,9 @@
         if not self._may_repeat(call, reply):
             self._probe_at = float("-inf")
             return _unwrap_reply(reply)
-        relayed = await self._relay_call(call, doubts)
+        relayed = await self._relay_call(call, unknown)
         if relayed is None:
-            return _unwrap_reply(doubts[0] if doubts else reply)
+            return _unwrap_reply(unknown[0] if unknown else reply)
         self._start_relaying(reply.detail)
         return _unwrap_reply(relayed)
 
@@ -216,12 +216,12 @@
                 return not isinstance(call, messages.GrantCall)
 
     async def _relay_call(
-        self, call: messages.KvCall, doubts: list[messages.KvReply]
+        self, call: messages.KvCall, unknown: list[messages.KvReply]
     ) -> messages.KvReply | None:
         """Execute a call through a peer; None when no peer could.
 
         Replies after which the call may have taken effect are added to
-        `doubts`.
+        `unknown`.
         """
         if trio.current_time() < self._relay_paused_until:
             return None
@@ -233,7 +233,7 @@
                 self._metrics.count("kv_calls_relayed")
                 return reply
             if reply is not None and reply.fault is KvFault.UNKNOWN:
-                doubts.append(reply)
+                unknown.append(reply)
             self._order.record_failure(address, trio.current_time())
         self._relay_paused_until = trio.current_time() + const.RELAY_PAUSE_S
         return None
