--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -112,6 +112,12 @@
         self.address = f"{found[0]}:{found[1]}"
         return self.address
 
+    def set_handler(
+        self, handler: Callable[[Request], Awaitable[Reply | None]]
+    ) -> None:
+        """Serve requests by another handler from now on."""
+        self._handler = handler
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         if self._server is not None:
