Show that a moved route loses the open submission's items

review/6: the rollout route and its model move to another service while a submission is open; the items that wait are never run (LOST).

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -520,6 +520,16 @@
         return self._send(400, {})
 
 
+@dataclass
+class Run:
+    """One run of a request at a sampler; times are monotonic."""
+
+    name: str
+    began_at: float
+    ended_at: float = 0.0
+    is_complete: bool = False
+
+
 # Returns the texts of the events of an item, by its id and body.
 MakeEvents = Callable[[Request], list[str]]
 
@@ -545,15 +555,22 @@
         self.record = record
         self.running: dict[str, float] = {}
         self.runs: list[tuple[float, str]] = []
+        self.history: list[Run] = []
         self.busy = False
         self.sequence = 0
         self.highest_fence = 0
         self.born = int(time.time() * 1000)
         self.software = "v1"
         self.kv_total = 109_325
+        # Items that can never be done: they are answered 422.
+        self.impossible: set[str] = set()
         self.server = Server(self.handle)
         self._beat = 0
 
+    def find_runs(self, name: str) -> list[Run]:
+        """Return the runs of a request here."""
+        return [run for run in self.history if run.name == name]
+
     def register(self) -> None:
         """Write the entry in the store's list."""
         self._beat += 1
@@ -637,11 +654,17 @@
         now = time.monotonic()
         self.runs.append((now, request_id))
         self.record(f"run of {request_id} at {self.name}")
+        if request_id in self.impossible:
+            self.record(f"{request_id} is answered 422 by {self.name}")
+            head.append(("Response-Stamp", f"stamp-{request_id}"))
+            return Reply(422, head)
         model = request.headers.get("model", "")
         version = self.versions.get(model, 1)
         events = self.make_events(request)
         after = int(request.headers.get("last-event-id", "0"))
         self.running[request_id] = now
+        run = Run(request_id, now)
+        self.history.append(run)
 
         async def stream(writer: asyncio.StreamWriter) -> bool:
             try:
@@ -651,8 +674,10 @@
                     data = f"id: {number}\ndata: {text}\n\n".encode()
                     write_chunk(writer, data)
                     await writer.drain()
+                run.is_complete = True
                 return True
             finally:
+                run.ended_at = time.monotonic()
                 self.running.pop(request_id, None)
 
         head += [
@@ -998,6 +1023,7 @@
         make_events: MakeEvents,
         slots: int = 8,
         event_s: float = 0.05,
+        models: list[str] | None = None,
     ) -> None:
         """Start and register samplers of a service."""
         for number in range(count):
@@ -1005,7 +1031,7 @@
                 self.store,
                 f"{service}-{number}",
                 service,
-                ["m0"],
+                models or ["m0"],
                 make_events,
                 slots,
                 event_s,
