--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,13 +1,14 @@
-"""A rollout route moves to another service; items stay with the old one."""
+"""A rollout route moves to another service while a submission is open."""
 
 import asyncio
 from pathlib import Path
+import signal
 import sys
-import time
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import Deployment  # noqa: E402
+from standins_2 import choose_network  # noqa: E402
+from standins_2 import Gateway  # noqa: E402
 from standins_2 import make_engine_service  # noqa: E402
 from standins_2 import make_item  # noqa: E402
 from standins_2 import make_lot  # noqa: E402
@@ -17,95 +18,159 @@
 from standins_2 import make_safe_route  # noqa: E402
 from standins_2 import read_results  # noqa: E402
 from standins_2 import Record  # noqa: E402
+from standins_2 import Request  # noqa: E402
 from standins_2 import run_case  # noqa: E402
+from standins_2 import Sampler  # noqa: E402
+from standins_2 import Store  # noqa: E402
 from standins_2 import submit  # noqa: E402
 from standins_2 import wait_for_holder  # noqa: E402
+from standins_2 import wait_until_ready  # noqa: E402
 
-CONFIG_APPLY_S = 2.0
-EVENTS = ["draft"] * 10
+LOT = "7c41e09b52d6a3f8"
+LATER_LOT = "91b06d3fe5a2c874"
+ITEMS = 32
+# A text has 20 to 60 events, one each 50 ms; 4 slots at each sampler.
+EVENT_S = 0.05
+SLOTS = 4
 
 
 def make_version(version: int, service: str) -> dict[str, object]:
-    """Return a manifest; only the route's service depends on arguments."""
+    """Return a manifest whose rollout route goes to a service."""
     return make_manifest(
         version,
         [make_rollout_route(service), make_safe_route()],
-        [
-            make_engine_service("lm-a", ["m0"]),
-            make_engine_service("lm-b", ["m0"]),
-            make_plain_service(),
-        ],
+        [make_engine_service(service, ["m0"]), make_plain_service()],
     )
 
 
-async def send_lot(
-    fleet: Deployment, record: Record, lot: str, wait_s: float
+def make_events(request: Request) -> list[str]:
+    """Return the events of an item's text: short and long ones."""
+    number = int(request.headers["request-id"][-3:])
+    return ["draft"] * (20 + 10 * (number % 5))
+
+
+async def read_all(
+    gateways: list[Gateway], lot: str, seen: dict[int, str], record: Record
 ) -> list[str]:
-    """Submit 6 items, wait and read; return where each of them ran."""
-    names = [f"{lot[:4]}{n:03d}" for n in range(6)]
-    body = make_lot([make_item(name) for name in names])
-    status = await submit(fleet.gateways[0], lot, body)
-    record(f"submission {lot}: {status}")
-    if status != 202:
-        raise RuntimeError(f"submission answered {status}")
-    await asyncio.sleep(wait_s)
-    code, page = await read_results(fleet.gateways[1], lot, 0, 0)
-    services = [
-        sampler.service
-        for sampler in fleet.samplers
-        for _, name in sampler.runs
-        if name in names
+    """Read a submission from the start; return what breaks the rule."""
+    broken: list[str] = []
+    for gateway in gateways:
+        ids: list[str] = []
+        while True:
+            status, page = await read_results(gateway, lot, len(ids), 0)
+            if status != 200 or not page["results"]:
+                break
+            ids += [result["id"] for result in page["results"]]
+        double = sorted({name for name in ids if ids.count(name) > 1})
+        record(
+            f"{gateway.name} lists {len(ids)} results of {lot},"
+            f" {len(set(ids))} items, status {status}; twice: {double}"
+        )
+        for position, name in enumerate(ids):
+            if seen.setdefault(position, name) != name:
+                broken.append(f"position {position} of {lot} has changed")
+        if double:
+            broken.append(f"{len(double)} items stand at two positions")
+    return broken
+
+
+async def restart_in_turn(gateways: list[Gateway], record: Record) -> None:
+    """Stop and start the gateways one after the other, by SIGTERM."""
+    for gateway in gateways:
+        record(f"SIGTERM to {gateway.name}")
+        gateway.signal(signal.SIGTERM)
+        for _ in range(160):
+            if not gateway.is_running():
+                break
+            await asyncio.sleep(0.05)
+        gateway.end()
+        gateway.start(first=False)
+        if not await wait_until_ready([gateway]):
+            raise RuntimeError(f"{gateway.name} isn't ready")
+        record(f"{gateway.name} is ready again")
+
+
+async def play(
+    record: Record,
+    trouble: bool,
+    store: Store,
+    gateways: list[Gateway],
+    samplers: list[Sampler],
+) -> int:
+    """Play the case; return the exit status."""
+    record(f"holder of lm-a: {await wait_for_holder(store, 'lm-a')}")
+    items = [
+        make_item(f"item{n:03d}", group=f"g{n // 4}") for n in range(ITEMS)
     ]
-    record(
-        f"after {wait_s} s: read {code}, {len(page.get('results', []))} of 6"
-        f" listed; runs at {services}"
-    )
-    return services
+    status = await submit(gateways[0], LOT, make_lot(items))
+    record(f"submission {LOT}: {status}")
+    if status != 202:
+        return 2
+    await asyncio.sleep(1.2)
+    if trouble:
+        revision = store.put("op/config", make_version(5, "lm-b"))
+        record(f"manifest 5 in the store, revision {revision}: lm-b")
+    seen: dict[int, str] = {}
+    for number in range(20):
+        gateway = gateways[number % len(gateways)]
+        code, page = await read_results(gateway, LOT, len(seen), 0)
+        for result in page.get("results", []):
+            seen[len(seen)] = result["id"]
+        record(f"read at {gateway.name}: {code}, {len(seen)} of {ITEMS}")
+        await asyncio.sleep(0.5)
+    later = [make_item(f"late{n:03d}") for n in range(4)]
+    status = await submit(gateways[0], LATER_LOT, make_lot(later, step=1))
+    record(f"submission {LATER_LOT}: {status}")
+    await asyncio.sleep(5.0)
+    code, page = await read_results(gateways[0], LATER_LOT)
+    record(f"after 5 s {LATER_LOT} has {len(page.get('results', []))} of 4")
+    await restart_in_turn(gateways, record)
+    await asyncio.sleep(5.0)
+    for sampler in samplers:
+        record(f"{sampler.name} ran {len(sampler.runs)} items")
+    broken = await read_all(gateways, LOT, seen, record)
+    for line in broken:
+        record(f"TWICE: {line}")
+    return 1 if broken else 0
 
 
 async def main(record: Record, work: Path, trouble: bool) -> int:
-    """Play the case; return the exit status."""
-    fleet = Deployment(record, work)
+    """Start the processes, play the case and end them."""
+    store = Store()
+    address = await store.server.start()
+    leases = asyncio.ensure_future(store.run())
+    store.put("op/config", make_version(1, "lm-a"))
+    samplers: list[Sampler] = []
+    for service in ("lm-a", "lm-b"):
+        for number in range(2):
+            sampler = Sampler(
+                store,
+                f"{service}-{number}",
+                service,
+                ["m0"],
+                make_events,
+                SLOTS,
+                EVENT_S,
+                record,
+            )
+            await sampler.server.start()
+            sampler.register()
+            samplers.append(sampler)
+    network = choose_network()
+    gateways = [
+        Gateway(f"front-{n}", f"{network}.{n + 2}", address, work)
+        for n in range(2)
+    ]
     try:
-        await fleet.start_store()
-        fleet.store.put("op/config", make_version(1, "lm-a"))
-        for service in ("lm-a", "lm-b"):
-            await fleet.add_samplers(service, 2, lambda request: EVENTS)
-        if not await fleet.start_gateways(2):
+        for gateway in gateways:
+            gateway.start()
+        if not await wait_until_ready(gateways):
             return 2
-        for pool in ("lm-a", "lm-b"):
-            holder = await wait_for_holder(fleet.store, pool)
-            record(f"holder of {pool}: {holder}")
-        await send_lot(fleet, record, "1a11c0de00000001", 3.0)
-        if trouble:
-            fleet.store.put("op/config", make_version(5, "lm-b"))
-            record("manifest 5 acknowledged: the route's service is lm-b")
-        acked_at = time.monotonic()
-        wrong = 0
-        # The first is sent 5 s after the ack, the bound is 2 s.
-        for number in range(2, 6):
-            await asyncio.sleep(5.0)
-            sent_after_s = time.monotonic() - acked_at
-            lot = f"{number}a11c0de0000000{number}"
-            services = await send_lot(fleet, record, lot, 3.0)
-            late = services.count("lm-a") if trouble else 0
-            wrong += late
-            if late and sent_after_s > CONFIG_APPLY_S:
-                record(
-                    f"CONFIG: {late} items of {lot}, sent {sent_after_s:.1f}"
-                    f" s after the ack, were run by lm-a"
-                )
-        if trouble:
-            # What it leads to once the operator takes the old samplers away.
-            for sampler in fleet.samplers:
-                if sampler.service == "lm-a":
-                    fleet.store.delete(f"servers/{sampler.name}")
-            record("the samplers of lm-a have left the list")
-            await asyncio.sleep(4.0)
-            await send_lot(fleet, record, "6a11c0de00000006", 12.0)
-        return 1 if wrong else 0
+        return await play(record, trouble, store, gateways, samplers)
     finally:
-        fleet.end()
+        for gateway in gateways:
+            gateway.end()
+        leases.cancel()
 
 
 if __name__ == "__main__":
