--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -102,6 +102,11 @@
         self._server: asyncio.base_events.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
+        # Whether an answer is also sent a second time, late: at the point
+        # where the next answer on its connection is expected.
+        self.repeats: Callable[[Request], bool] = lambda request: False
+        self._late: dict[asyncio.StreamWriter, tuple[str, bytes]] = {}
+        self.on_late: Callable[[str, Request], None] = lambda first, now: None
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen; return the address."""
@@ -136,6 +141,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self._late.pop(writer, None)
             writer.close()
 
     async def _serve_one(
@@ -150,6 +156,11 @@
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         request = Request(method, parts.path, query, headers, body, target)
+        late = self._late.pop(writer, None)
+        if late is not None:
+            self.on_late(late[0], request)
+            writer.write(late[1])
+            await writer.drain()
         # The caller may close meanwhile, which ends the work on its request.
         work = asyncio.ensure_future(self._handler(request))
         gone = asyncio.ensure_future(wait_for_end(reader))
@@ -169,8 +180,12 @@
         if reply.stream is None:
             gone.cancel()
             head += f"Content-Length: {len(reply.body)}\r\n\r\n"
-            writer.write(head.encode("latin-1") + reply.body)
+            data = head.encode("latin-1") + reply.body
+            writer.write(data)
             await writer.drain()
+            if self.repeats(request):
+                name = request.headers.get("request-id", "")
+                self._late[writer] = name, data
             return True
         head += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode("latin-1"))
