--- a/features/steps/submission_steps.py
+++ b/features/steps/submission_steps.py
@@ -8,6 +8,7 @@
 from support import outcome_cases
 from support.seed_checks import check_seeds
 from support import slow_readers
+from support.submission_faults import MOVE_FAULTS
 from support.submission_faults import STOP_FAULTS
 from support.submission_scenarios import run_scenario
 
@@ -54,6 +55,18 @@
     )
 
 
+@then("{count:d} random scenarios of moving routes violate no guarantee")
+def check_moves(context: Context, count: int) -> None:
+    """Check many seeds of routes that move between two pools."""
+    check_seeds(
+        count,
+        DRAW_SEED,
+        lambda number: run_scenario(
+            number, MOVE_FAULTS, other_samplers=2
+        ).find_violations(),
+    )
+
+
 @when("a guard is tested alone: {guard}")
 def run_guard(context: Context, guard: str) -> None:
     """Run the case of a guard."""
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -18,6 +18,10 @@
   Scenario: many seeds of holders that stop while the store replies late
     Then 100 random scenarios of stopping holders violate no guarantee
 
+  # A submission was lost, or an item listed twice, when its route moved.
+  Scenario: many seeds of routes that move between two pools
+    Then 150 random scenarios of moving routes violate no guarantee
+
   Scenario: a calm scenario commits what was submitted
     When the submission scenario of seed 3 runs
     Then it violates no guarantee
@@ -33,6 +37,8 @@
       | replies are lost                                    |
       | the next holder goes on after a commit without reply |
       | results that are known already are refused          |
+      | another submission has another owner                 |
+      | another one's record isn't as expected               |
 
   Scenario Outline: guard alone: <guard>
     When a guard is tested alone: <guard>
--- a/features/support/commit_cases.py
+++ b/features/support/commit_cases.py
@@ -8,11 +8,16 @@
 from collections.abc import Callable
 from random import Random
 
+import msgspec
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.submissions.archive import Archive
+from pistachiospar.submissions.archive import encode_results
 from pistachiospar.submissions.commits import ResultCommitter
 from pistachiospar.submissions.const import BATCH_DELAY_S
+from pistachiospar.submissions.keys import make_owner_key
+from pistachiospar.submissions.keys import make_results_key
 from pistachiospar.submissions.models import Item
+from pistachiospar.submissions.models import OwnerRecord
 from pistachiospar.submissions.models import SampleResult
 from pistachiospar.submissions.models import Submission
 from pistachiospar.submissions.registry import make_submission_state
@@ -51,6 +56,7 @@
         submission = Submission("sub", "h", "/", "m", 1, 1, 1, items, 0.0)
         self.state = make_submission_state(submission, 0.0, 0.0, 9.0, 99.0)
         self.registry = SubmissionRegistry()
+        self.reloaded: list[str] = []
         self.committer = self.make_committer()
 
     def make_committer(self) -> ResultCommitter:
@@ -60,11 +66,17 @@
             self.kv,
             self.archive,
             self.registry,
+            self._reload,
             trio.current_time,
             self.metrics,
             Random(self.rng.random()),
         )
 
+    def _reload(self, name: str) -> None:
+        """Record and drop a submission that is to be loaded anew."""
+        self.reloaded.append(name)
+        self.registry.release_submission(name)
+
     async def finish_items(self) -> None:
         """Finish the items one by one, at random times."""
         for name in self.state.items:
@@ -82,7 +94,9 @@
             return False
         names = [result.id for result in stored.unwrap()]
         known = [result.id for result in self.state.committed]
-        in_order = not self.metrics.counts["results_out_of_place"]
+        in_order = not (
+            self.reloaded or self.metrics.counts["results_out_of_place"]
+        )
         complete = sorted(names) == sorted(self.state.items)
         return complete and names == known and in_order
 
@@ -162,6 +176,51 @@
     return first and not (again or ahead or repeated) and known == ["i0", "i1"]
 
 
+async def check_beside_other(
+    key: str, value: bytes, is_listed: bool
+) -> tuple[bool, CommitRun]:
+    """Commit beside a submission that somebody else wrote a key for.
+
+    `is_listed` is set when its first result is listed. Returns whether the
+    others' results are stored.
+    """
+    run = CommitRun(1)
+    submission = msgspec.structs.replace(run.state.submission, id="moved")
+    moved = make_submission_state(submission, 0.0, 0.0, 9.0, 99.0)
+    run.registry.submissions["moved"] = moved
+    first = SampleResult("i0", True, "i0", [1], "")
+    if is_listed:
+        moved.record_committed(0, [first])
+        stored_key = make_results_key("moved", 0)
+        run.store.write(stored_key, encode_results([first]), 0, 0.0)
+    run.store.write(key, value, 0, 0.0)
+    for state in (moved, run.state):
+        for name in state.items:
+            state.finish_item(SampleResult(name, True, name, [1], ""), 0.0)
+    with trio.move_on_after(COMMIT_TIMEOUT_S):
+        await run.committer.flush(run.role)
+    found = (await run.archive.load_results("sub")).unwrap()
+    return len(found) == ITEM_COUNT, run
+
+
+async def check_beside_moved() -> bool:
+    """Guard: one that moved stopped the results of all others."""
+    owner = msgspec.msgpack.encode(OwnerRecord("other", 2))
+    key = make_owner_key("moved")
+    is_stored, run = await check_beside_other(key, owner, False)
+    others = (await run.archive.load_results("moved")).unwrap()
+    return is_stored and run.reloaded == ["moved"] and not others
+
+
+async def check_beside_contradiction() -> bool:
+    """Guard: a batch that the record contradicts was written forever."""
+    result = SampleResult("i0", True, "i0", [1], "")
+    key = make_results_key("moved", 1)
+    value = encode_results([result])
+    is_stored, run = await check_beside_other(key, value, True)
+    return is_stored and run.reloaded == ["moved"]
+
+
 CASES: dict[str, Callable[[], Awaitable[bool]]] = {
     "replies arrive late and out of order": check_late_replies,
     "replies are lost": check_lost_replies,
@@ -169,6 +228,8 @@
         check_stopped_commit
     ),
     "results that are known already are refused": check_repeated_results,
+    "another submission has another owner": check_beside_moved,
+    "another one's record isn't as expected": check_beside_contradiction,
 }
 
 
--- a/features/support/guard_cases.py
+++ b/features/support/guard_cases.py
@@ -28,9 +28,13 @@
 from pistachiospar.submissions.commits import choose_batch
 from pistachiospar.submissions.commits import ResultCommitter
 from pistachiospar.submissions.const import PREFIX_SUBMISSIONS
+from pistachiospar.submissions.keys import make_owner_key
+from pistachiospar.submissions.keys import make_results_key
 from pistachiospar.submissions.models import Item
+from pistachiospar.submissions.models import OwnerRecord
 from pistachiospar.submissions.models import SampleResult
 from pistachiospar.submissions.models import Submission
+from pistachiospar.submissions.ownership import OwnerStep
 from pistachiospar.submissions.registry import ItemState
 from pistachiospar.submissions.registry import make_submission_state
 from pistachiospar.submissions.registry import SubmissionRegistry
@@ -156,28 +160,30 @@
 
 
 async def check_fenced_commit() -> bool:
-    """A commit checks the holder's key and that the position is free."""
+    """A commit checks the holder's key, the owner and the position."""
     kv: Any = RecordingKv()
     registry = SubmissionRegistry()
     state = make_submission_state(SUBMISSION, 0.0, 0.0, 9.0, 99.0)
     registry.submissions["sub"] = state
+    state.owner_revision = 23
     state.finish_item(SampleResult("item", True, "t", [3], "s"), 0.0)
     committer = ResultCommitter(
         kv,
         Archive(kv, 1000, Metrics()),
         registry,
+        lambda submission: None,
         trio.current_time,
         Metrics(),
         Random(1),
     )
     await committer.flush(Role("p", "holder-key", 17, 1, 99.0))
     checks = {(c.key, c.revision) for c in kv.transactions[0].checks}
-    positions = [revision for key, revision in checks if key != "holder-key"]
-    return (
-        ("holder-key", 17) in checks
-        and positions == [0]
-        and not choose_batch([state])
-    )
+    expected = {
+        ("holder-key", 17),
+        (make_results_key("sub", 0), 0),
+        (make_owner_key("sub"), 23),
+    }
+    return checks == expected and not choose_batch([state])
 
 
 def make_progress(count: int, events: int) -> SubmissionState:
@@ -280,13 +286,18 @@
         gateway = fleet.running["g0"].coordinator
         await gateway.hand_over()
         submission = msgspec.structs.replace(SUBMISSION, model="m0")
-        stored = await gateway.archive.store_submission(submission)
+        stored = await gateway.archive.store_submission(
+            submission, OwnerRecord(POOL, 1)
+        )
         assert isinstance(stored, Ok), stored
         items = (await gateway.kv.list_items(PREFIX_SUBMISSIONS)).unwrap()[0]
         event = KvEvent(items[0].key, items[0].value, items[0].revision)
         pool = gateway.pools[POOL]
         role = Role(POOL, "holder-key", 1, 1, valid_until)
-        loaded = await pool.load_submission(SUBMISSION.id, event, role)
+        pool.loader.apply_event(event)
+        loaded = await pool.loader.take_step(
+            SUBMISSION.id, OwnerStep.RUN, role
+        )
         names = list(pool.registry.submissions)
         nursery.cancel_scope.cancel()
     return loaded, names
--- a/features/support/outcome_cases.py
+++ b/features/support/outcome_cases.py
@@ -15,6 +15,7 @@
 from pistachiospar.ports.kv import KvTransaction
 from pistachiospar.ports.kv import KvWriteResult
 from pistachiospar.submissions.archive import Archive
+from pistachiospar.submissions.models import OwnerRecord
 from pistachiospar.submissions.models import Submission
 from pistachiospar.telemetry.metrics import Metrics
 from pistachiospar_standins.fakes.entry_fleet import run_virtual
@@ -23,6 +24,7 @@
 from result import Result
 
 SUBMISSION = Submission("sub", "h", "/", "m", 1, 1, 1, [], 0.0)
+OWNER = OwnerRecord("pool", 1)
 
 
 class ScriptedWrites:
@@ -74,7 +76,7 @@
             script, script, lambda: ["a", "b"], Metrics(), Random(1)
         )
         archive = Archive(kv, 1_000_000, Metrics())
-        stored = await archive.store_submission(SUBMISSION)
+        stored = await archive.store_submission(SUBMISSION, OWNER)
         return "stored" if stored.is_ok() else stored.unwrap_err().fault.value
 
     found: str = run_virtual(work, 1, 60.0)
--- a/features/support/slow_readers.py
+++ b/features/support/slow_readers.py
@@ -57,9 +57,15 @@
     async def work() -> list[int]:
         refusals: Any = RefusalCounter()
         reader: Any = PreparedReader()
-        archive: Any = None
+        unused: Any = None
         handler = SubmissionHandler(
-            archive, reader, refusals, lambda: 0.0, Metrics(), max_bytes
+            unused,
+            reader,
+            unused,
+            refusals,
+            lambda: 0.0,
+            Metrics(),
+            max_bytes,
         )
 
         async def handle(request: HttpRequest, exchange: Any) -> None:
--- a/features/support/submission_faults.py
+++ b/features/support/submission_faults.py
@@ -5,6 +5,8 @@
 from random import Random
 
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
+from pistachiospar_standins.fakes.gateway_fleet import OTHER_POOL
+from pistachiospar_standins.fakes.gateway_fleet import POOL
 import trio
 
 
@@ -136,6 +138,15 @@
     fleet.write_configuration()
 
 
+async def move_route(fleet: GatewayFleet, rng: Random) -> None:
+    """Move the rollout route, and half the time its models too."""
+    upstream = rng.choice([POOL, OTHER_POOL])
+    pools = [upstream] if rng.random() < 0.5 else [POOL, OTHER_POOL]
+    fleet.plan.rollout_upstream = upstream
+    fleet.plan.pool_models = dict.fromkeys(pools, fleet.plan.models)
+    fleet.write_configuration()
+
+
 async def clear_faults(fleet: GatewayFleet) -> None:
     """Clear the faults of samplers and stores; restart killed gateways."""
     for sampler in fleet.cluster.samplers.values():
@@ -178,3 +189,6 @@
     lose_replies,
     kill_gateway,
 ]
+
+# A route moves between two pools while anything else fails.
+MOVE_FAULTS: list[Fault] = [*FAULTS, *[move_route] * 8, delay_replies]
--- a/features/support/submission_scenarios.py
+++ b/features/support/submission_scenarios.py
@@ -63,9 +63,14 @@
 
 
 def run_scenario(
-    seed: int, faults: Sequence[Fault] = tuple(FAULTS)
+    seed: int,
+    faults: Sequence[Fault] = tuple(FAULTS),
+    other_samplers: int = 0,
 ) -> ScenarioRun:
-    """Run the trainers, the faults and the checks of one seed."""
+    """Run the trainers, the faults and the checks of one seed.
+
+    `other_samplers` is the number of instances of a second pool.
+    """
     rng = Random(seed)
     run = ScenarioRun(seed)
     plan = GatewayPlan(
@@ -74,6 +79,7 @@
         slots=rng.choice([2, 6]),
         single_version=rng.random() < 0.2,
         seed=seed,
+        other_samplers=other_samplers,
     )
 
     async def run_plan() -> None:
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -41,6 +41,7 @@
 from .samplers import SamplerCluster
 
 POOL = "pool"
+OTHER_POOL = "other"
 APP = "app"
 HOST = "host.example"
 ROLLOUT_PREFIX = "/rollout/"
@@ -177,6 +178,7 @@
         self.compares_organisations = True
         self.names_organisations = True
         self.addresses: dict[str, str] = {}
+        self.upstreams: dict[str, str] = {}
         self.listed_states: dict[str, str] = {}
         self.configuration_version = 0
         self._nursery: trio.Nursery | None = None
@@ -190,6 +192,8 @@
         self.write_configuration()
         for number in range(self.plan.samplers):
             self.add_sampler(f"s{number}", POOL)
+        for number in range(self.plan.other_samplers):
+            self.add_sampler(f"o{number}", OTHER_POOL)
         for number in range(self.plan.apps):
             self.add_sampler(f"a{number}", APP)
         nursery.start_soon(self._update_instance_list)
@@ -247,10 +251,10 @@
         """Return whether two gateways can reach each other."""
         return first not in self.isolated and second not in self.isolated
 
-    def find_holder(self) -> str | None:
-        """Return the gateway that holds the pool, or None."""
+    def find_holder(self, pool: str = POOL) -> str | None:
+        """Return the gateway that holds a pool, or None."""
         for name, running in self.running.items():
-            role = running.coordinator.holders.roles.get(POOL)
+            role = running.coordinator.holders.roles.get(pool)
             if role is not None and not role.lost:
                 return name
         return None
@@ -278,10 +282,11 @@
     ) -> None:
         """Add an instance to an upstream and list it.
 
-        Those of the pool have version 1 of each model.
+        Those of pools have version 1 of each model.
         """
         sampler = FakeSampler(name, self.plan.slots, software=software)
-        if upstream == POOL:
+        self.upstreams[name] = upstream
+        if upstream != APP:
             sampler.versions = dict.fromkeys(self.plan.models, 1)
         else:
             sampler.queue = self.plan.queue
@@ -311,7 +316,11 @@
             },
             {
                 **make_route(
-                    HOST, "roll", self.plan.rollout_prefix, "rollout", POOL
+                    HOST,
+                    "roll",
+                    self.plan.rollout_prefix,
+                    "rollout",
+                    self.plan.rollout_upstream,
                 ),
                 "resultDueMs": 7500,
                 "maxAgeS": self.plan.max_age_s,
@@ -321,11 +330,16 @@
         ]
         for route in routes:
             route["public"] = route["name"] in self.plan.public_routes
-        models = [{"name": model} for model in self.plan.models]
-        services = [
-            {"name": POOL, "maxConns": 100, "engine": {"models": models}},
-            {"name": APP, "maxConns": 100},
+        pools = self.plan.pool_models or {POOL: self.plan.models}
+        services: list[dict[str, object]] = [
+            {
+                "name": pool,
+                "maxConns": 100,
+                "engine": {"models": [{"name": model} for model in models]},
+            }
+            for pool, models in pools.items()
         ]
+        services.append({"name": APP, "maxConns": 100})
         value = msgspec.json.encode(
             {
                 "version": self.configuration_version,
@@ -350,7 +364,7 @@
                 sampler.apply_due_orders(trio.current_time())
                 key = const.PREFIX_INSTANCES + name
                 if key in self.store.items and sampler.versions:
-                    self.write_instance(name, POOL)
+                    self.write_instance(name, self.upstreams[name])
 
     def write_instance(self, name: str, upstream: str) -> None:
         """Write an instance's entry in the list if it changed."""
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_plan.py
@@ -36,7 +36,9 @@
     plain upstream, whose instances queue `queue` calls. `tenants` has the
     organisations and their keys, if there are any. `lost_count_share` is the
     share of the lost replies to counts for the usage report. Submissions
-    have a route if their path begins with `rollout_prefix`.
+    have a route if their path begins with `rollout_prefix`; it leads to
+    `rollout_upstream`. `other_samplers` is the number of instances of a second
+    pool, `pool_models` the models of each pool, those of the first by default.
     """
 
     gateways: int = 3
@@ -52,6 +54,9 @@
     result_retention_s: float = 120.0
     resumable: bool = True
     rollout_prefix: str = "/rollout/"
+    rollout_upstream: str = "pool"
+    other_samplers: int = 0
+    pool_models: dict[str, tuple[str, ...]] | None = None
     is_first_start: bool = False
     tenants: list[dict[str, object]] | None = None
     public_routes: tuple[str, ...] = ()
--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -44,6 +44,7 @@
 from ..stream_origins.software_archive import SoftwareArchive
 from ..submissions.archive import Archive
 from ..submissions.coordinator import PoolCoordinator
+from ..submissions.ownership import name_first_owner
 from ..submissions.reader import SubmissionReader
 from ..submissions.registry import SubmissionState
 from ..submissions.runner import ItemRunner
@@ -224,7 +225,11 @@
         self.archive = Archive(self.kv, identity.value_bytes, self.metrics)
         self.pools: dict[str, PoolCoordinator] = {}
         self.reader = SubmissionReader(
-            self.archive, self.holders, self._find_submission, peer
+            self.archive,
+            self.holders,
+            self._find_submission,
+            peer,
+            lambda: self.directory.table.version,
         )
         refusals = RefusalSender(self.directory, self.metrics, rng)
         self.handler = GatewayHandler(
@@ -243,6 +248,9 @@
             SubmissionHandler(
                 self.archive,
                 self.reader,
+                lambda submission: name_first_owner(
+                    self.directory.table, submission
+                ),
                 refusals,
                 clocks.read_wall_s,
                 self.metrics,
@@ -386,7 +394,7 @@
             role = self.holders.roles.get(name)
             if role is None or not role.is_valid(boot_now):
                 continue
-            state = pool.registry.submissions.get(submission)
+            state = pool.find_submission(submission)
             if state is not None:
                 return state
         return None
--- a/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
@@ -28,6 +28,7 @@
 from ..submissions.archive import Archive
 from ..submissions.const import MAX_KEY_BYTES
 from ..submissions.keys import make_part_key
+from ..submissions.models import OwnerRecord
 from ..submissions.models import Submission
 from ..submissions.reader import SubmissionReader
 from ..telemetry.logs import log_event
@@ -45,6 +46,7 @@
         self,
         archive: Archive,
         reader: SubmissionReader,
+        name_owner: Callable[[Submission], OwnerRecord],
         refusals: RefusalSender,
         read_wall_s: Callable[[], float],
         metrics: Metrics,
@@ -52,11 +54,13 @@
     ) -> None:
         """Initialize; `read_wall_s` returns Unix time.
 
+        `name_owner` returns the first owner of a new submission.
         `max_page_bytes` bounds the results that are being sent.
         """
         self.pages = ResultPages(max_page_bytes)
         self._archive = archive
         self._reader = reader
+        self._name_owner = name_owner
         self._refuse = refusals.send
         self._read_wall_s = read_wall_s
         self._metrics = metrics
@@ -167,7 +171,9 @@
         self, submission: Submission, organisation: str | None
     ) -> Result[bool | None, KvError]:
         """Store a submission; compare the owner when its id is taken."""
-        stored = await self._archive.store_submission(submission)
+        stored = await self._archive.store_submission(
+            submission, self._name_owner(submission)
+        )
         if isinstance(stored, Err) or stored.ok_value or organisation is None:
             return stored
         owner = await self._archive.find_owner(submission.id)
--- a/packages/pistachiospar/src/pistachiospar/routing/differences.py
+++ b/packages/pistachiospar/src/pistachiospar/routing/differences.py
@@ -43,7 +43,8 @@
     "host": "calls to the former host get 404 or another route",
     "prefix": "calls to the former prefix get 404 or another route",
     "kind": "decides whether attempts that start from now on are repeated",
-    "shares": "new calls are spread anew; calls under way stay where they run",
+    "shares": "new calls are spread anew; calls under way stay where they "
+    "run; open submissions move if no share leads to their pool any more",
     "public": "decides whether new calls need a key; calls under way go on",
     "priority": LATER_ITEMS,
     "max_attempts": LATER_ITEMS,
@@ -55,7 +56,7 @@
 }
 UPSTREAM_REMOVED: Final = (
     "routes that name it still reach its instances; without the entry its "
-    "models aren't served, and their submissions wait"
+    "models aren't served; their submissions move with their route or wait"
 )
 ORGANISATION_REMOVED: Final = (
     "calls with its keys get 401; what runs goes on, its submissions, too"
@@ -228,7 +229,8 @@
         detail = _describe_changes(before.config, after.config)
         effect = "calls under way go on"
         if before.config.models != after.config.models:
-            effect += "; submissions of a model that is gone wait for it"
+            effect += "; submissions of a model that is gone move with their "
+            effect += "route or wait for it"
         yield Difference("changed", subject, detail, effect)
     if before.instances != after.instances:
         old, new = before.instances, after.instances
--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from . import const
+from ..pool_holders.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
 from ..ports.kv import KvError
@@ -15,10 +16,12 @@
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .keys import make_end_key
+from .keys import make_owner_key
 from .keys import make_part_key
 from .keys import make_results_prefix
 from .keys import make_submission_key
 from .keys import parse_position
+from .models import OwnerRecord
 from .models import SampleResult
 from .models import Submission
 from .models import SubmissionHead
@@ -42,11 +45,12 @@
         self._part_bytes = value_bytes * 2 // 3
 
     async def store_submission(
-        self, submission: Submission
+        self, submission: Submission, owner: OwnerRecord
     ) -> Result[bool, KvError]:
         """Store a submission; return False when its id is already taken.
 
-        After an UNKNOWN fault the submission may or may not be stored.
+        `owner` is its first one. After an UNKNOWN fault the submission may or
+        may not be stored.
         """
         encoded = msgspec.msgpack.encode(submission)
         size = self._part_bytes
@@ -61,6 +65,9 @@
             submission.model,
             submission.arrived_s,
             submission.organisation,
+            submission.host,
+            submission.path,
+            owner,
         )
         puts = [KvPut(key, msgspec.msgpack.encode(head))]
         puts += [
@@ -102,6 +109,47 @@
             )
         )
 
+    async def read_owner(
+        self, submission: str
+    ) -> Result[tuple[OwnerRecord, int] | None, KvError]:
+        """Return the owner that replaced the first one, and its revision.
+
+        None when there is none.
+        """
+        item = await self.kv.get_item(make_owner_key(submission))
+        return item.map(
+            lambda found: (
+                (decode_owner(found.value), found.revision)
+                if found is not None
+                else None
+            )
+        )
+
+    async def claim_submission(
+        self,
+        submission: str,
+        owner: OwnerRecord,
+        role: Role,
+        head_revision: int,
+        owner_revision: int,
+    ) -> Result[int, KvError]:
+        """Replace a submission's owner; return the new owner's revision.
+
+        0 when another holder has the role or the record has changed. An
+        `owner_revision` of 0 means that its first owner still has it.
+        """
+        key = make_owner_key(submission)
+        transaction = KvTransaction(
+            (
+                KvCheck(role.key, role.fence),
+                KvCheck(make_submission_key(submission), head_revision),
+                KvCheck(key, owner_revision),
+            ),
+            (KvPut(key, msgspec.msgpack.encode(owner)),),
+        )
+        written = await self.kv.commit(transaction)
+        return written.map(lambda got: got.revision if got.won else 0)
+
     async def read_parts(
         self, submission: str, parts: int
     ) -> Result[Submission, KvError]:
@@ -156,6 +204,10 @@
     return msgspec.msgpack.decode(value, type=SubmissionHead)
 
 
+def decode_owner(value: bytes) -> OwnerRecord:
+    return msgspec.msgpack.decode(value, type=OwnerRecord)
+
+
 def encode_results(results: list[SampleResult]) -> bytes:
     """Encode the results that are stored under one key."""
     return msgspec.msgpack.encode(results)
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -16,6 +16,7 @@
 from ..telemetry.metrics import Metrics
 from .archive import Archive
 from .archive import encode_results
+from .keys import make_owner_key
 from .keys import make_results_key
 from .models import SampleResult
 from .registry import SubmissionRegistry
@@ -36,10 +37,13 @@
         kv: KeyValue,
         archive: Archive,
         registry: SubmissionRegistry,
+        reload_submission: Callable[[str], None],
         read_now: Callable[[], float],
         metrics: Metrics,
         rng: Random,
     ) -> None:
+        """Initialize; `reload_submission` gets those to read anew."""
+        self._reload_submission = reload_submission
         self._kv = kv
         self._archive = archive
         self._registry = registry
@@ -85,8 +89,10 @@
         puts: list[KvPut] = []
         positions = [len(state.committed) for state, _ in batch]
         for position, (state, results) in zip(positions, batch, strict=True):
-            key = make_results_key(state.submission.id, position)
+            name = state.submission.id
+            key = make_results_key(name, position)
             checks.append(KvCheck(key, 0))
+            checks.append(KvCheck(make_owner_key(name), state.owner_revision))
             puts.append(KvPut(key, encode_results(results)))
         transaction = KvTransaction(tuple(checks), tuple(puts))
         started_at = self._read_now()
@@ -111,19 +117,32 @@
     async def _read_back_batch(self, batch: Batch) -> None:
         """Take over the stored results after a transaction that did not win.
 
-        Either it won earlier and the reply was lost, or another holder wrote.
+        Either it won earlier and the reply was lost, or another holder wrote,
+        or a submission has another owner by now. It is dropped then, since it
+        would hold up the results of all others.
         """
         for state, _ in batch:
-            stored = await self._archive.load_results(state.submission.id)
+            name = state.submission.id
+            stored = await self._archive.load_results(name)
             if isinstance(stored, Err):
                 continue
             position = len(state.committed)
             results = stored.ok_value[position:]
             if results:
                 self._record_committed(state, position, results)
+            elif await self._has_moved(state):
+                self._reload_submission(name)
         log_event("commit_settled", submissions=len(batch))
         await trio.sleep(const.COMMIT_RETRY_DELAY_S)
 
+    async def _has_moved(self, state: SubmissionState) -> bool:
+        """Return whether a submission certainly has another owner."""
+        owner = await self._archive.read_owner(state.submission.id)
+        if isinstance(owner, Err):
+            return False
+        revision = owner.ok_value[1] if owner.ok_value is not None else 0
+        return revision != state.owner_revision
+
     def _record_committed(
         self,
         state: SubmissionState,
@@ -141,6 +160,7 @@
                 known=known,
                 results=len(results),
             )
+            self._reload_submission(state.submission.id)
             return
         ids = {result.id for result in results}
         state.uncommitted = [r for r in state.uncommitted if r.id not in ids]
@@ -153,7 +173,7 @@
     """Return when to commit the next batch; an hour ahead without results."""
     commit_at = now + 3600.0
     for state in states:
-        if not state.uncommitted or state.ended:
+        if not state.uncommitted or state.is_stopped:
             continue
         remaining = len(state.items) - len(state.committed)
         if state.has_complete_group or len(state.uncommitted) == remaining:
@@ -169,10 +189,10 @@
     batch: Batch = []
     size = 0
     for state in states:
-        if not state.uncommitted or state.ended:
+        if not state.uncommitted or state.is_stopped:
             continue
         if (
-            len(batch) >= const.MAX_COMMIT_ROWS
+            len(batch) >= const.MAX_COMMIT_SUBMISSIONS
             or size > const.MAX_COMMIT_BYTES
         ):
             break
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -9,6 +9,7 @@
 PREFIX_RESULTS: Final = "ps/r/"
 PREFIX_PROGRESS: Final = "ps/p/"
 SUFFIX_END: Final = "/end"
+SUFFIX_OWNER: Final = "/owner"
 MAX_KEY_BYTES: Final = 200
 # A submission's record is written in one transaction of at most 32 rows.
 MAX_PARTS: Final = 24
@@ -17,7 +18,8 @@
 # by complete groups, so most transactions should carry complete groups.
 BATCH_DELAY_S: Final = 0.9
 COALESCE_DELAY_S: Final = 0.1
-MAX_COMMIT_ROWS: Final = 12
+# A transaction takes at most 32 rows: three a submission, and the role's.
+MAX_COMMIT_SUBMISSIONS: Final = 10
 MAX_COMMIT_BYTES: Final = MEBIBYTE // 2
 COMMIT_RETRY_DELAY_S: Final = 0.15
 # Upper bounds of what a checkpoint adds to the text of an event or item.
--- a/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/dispatch.py
@@ -61,7 +61,7 @@
         self._memory = MemoryTable()
         self._in_flight: dict[str, int] = {}
         self._group_instances: dict[tuple[str, str], str] = {}
-        self._unrouted = UnroutedItems()
+        self._unrouted = UnroutedItems(pool)
 
     def clear(self) -> None:
         """Drop all state, once this gateway lost the role."""
@@ -77,7 +77,7 @@
         self._unrouted.forget(submission)
 
     def find_unrouted(self, submission: SubmissionState) -> frozenset[str]:
-        """Return the items without a route in the configuration in force."""
+        """Return the items that no route sends to this pool."""
         return self._unrouted.find(
             submission.submission, self._directory.table
         )
@@ -365,14 +365,14 @@
 
         with state.cancel_scope:
             try:
-                if route is not None and not submission.ended:
+                if route is not None and not submission.is_stopped:
                     result = await self._runner.run(
                         submission, state, instance, route, release_slot
                     )
             finally:
                 release_slot()
                 state.cancel_scope = None
-        if submission.ended:
+        if submission.is_stopped or state.phase is ItemPhase.COMMITTED:
             return
         if result is None:
             state.phase = ItemPhase.WAITING
--- a/packages/pistachiospar/src/pistachiospar/submissions/keys.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/keys.py
@@ -26,6 +26,11 @@
     return make_submission_key(submission) + const.SUFFIX_END
 
 
+def make_owner_key(submission: str) -> str:
+    """Return the key of a submission's owner, once it isn't the first one."""
+    return make_submission_key(submission) + const.SUFFIX_OWNER
+
+
 def make_results_prefix(submission: str) -> str:
     """Return the prefix of a submission's results."""
     return f"{const.PREFIX_RESULTS}{quote(submission, safe='')}/"
--- a/packages/pistachiospar/src/pistachiospar/submissions/models.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/models.py
@@ -53,16 +53,30 @@
     organisation: str = ""
 
 
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """The pool that runs a submission.
+
+    `configuration` is the version of the configuration that named it.
+    """
+
+    pool: str
+    configuration: int
+
+
 class SubmissionHead(msgspec.Struct, frozen=True, array_like=True):
     """First row of a submission's record.
 
-    It tells whether the parts have to be read.
+    It tells whether the parts have to be read. `owner` is the first one;
+    builds before this one write neither it nor `host` and `path`.
     """
 
     parts: int
     model: str
     arrived_s: float
     organisation: str = ""
+    host: str = ""
+    path: str = ""
+    owner: OwnerRecord = OwnerRecord("", 0)
 
 
 class SampleResult(msgspec.Struct, frozen=True, array_like=True):
@@ -83,8 +97,10 @@
     """Results from a position on; `total` is the number of items.
 
     `organisation` is the submission's, None from a gateway of an older build.
+    `configuration` is the version that the holder knows, None likewise.
     """
 
     total: int
     results: list[SampleResult]
     organisation: str | None = None
+    configuration: int | None = None
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -46,7 +46,10 @@
         holders: HolderCoordinator,
         find_state: FindState,
         peer: SubmissionPeer,
+        read_configuration: Callable[[], int],
     ) -> None:
+        """Initialize; `read_configuration` returns the version in force."""
+        self._read_configuration = read_configuration
         self._archive = archive
         self._holders = holders
         self._find_state = find_state
@@ -62,8 +65,9 @@
     ) -> ResultPage | None:
         """Return results from memory; None when it is not loaded here.
 
-        Also None, at once, when it is another organisation's. Waits for a
-        result at position `after` or later for up to `wait_s`, at most
+        Also None, at once, when it is another organisation's, or when a
+        result before `after` isn't known, which another holder listed. Waits
+        for a result at position `after` or later for up to `wait_s`, at most
         MAX_LONG_POLL_S.
         """
         state = self._find_state(submission)
@@ -72,11 +76,16 @@
         owner = state.submission.organisation
         if not may_access(owner, organisation):
             return None
+        if after > len(state.committed):
+            return None
         with trio.move_on_after(min(wait_s, const.MAX_LONG_POLL_S)):
             while len(state.committed) <= after and state.is_open():
                 await state.results_changed.wait()
+        if state.released:
+            return None
         page = make_page(state.committed, after)
-        return ResultPage(len(state.items), page, owner)
+        configuration = self._read_configuration()
+        return ResultPage(len(state.items), page, owner, configuration)
 
     def _read_local_body(
         self, submission: str, item: str, organisation: str | None
@@ -185,7 +194,9 @@
         """Read results from the other gateways that hold a pool.
 
         A page whose organisation isn't known is of an older build, which
-        doesn't check it: the record decides.
+        doesn't check it: the record decides. So it does where the holder
+        lacks a configuration that this gateway has: another pool may own the
+        submission by now.
         """
         for pool in list(self._holders.holders):
             record = self._holders.find_remote_holder(pool)
@@ -194,7 +205,10 @@
             page = await self._peer.fetch_results(
                 record.peer, submission, after, wait_s, organisation
             )
-            if page is None:
+            if page is None or (
+                page.configuration is not None
+                and page.configuration < self._read_configuration()
+            ):
                 continue
             if organisation is None or (
                 page.organisation is not None
--- a/packages/pistachiospar/src/pistachiospar/submissions/registry.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/registry.py
@@ -75,7 +75,9 @@
     `uncommitted` the others, the first of them since `uncommitted_since`.
     `needs_memory` is set when items tell what they need of a sampler's memory.
     `results_changed` is set, and replaced by a new event, when results are
-    committed and when the submission ends.
+    committed and when the submission ends. `owner_revision` is that of the
+    owner's key, 0 without one; `released` is set once another pool may own
+    the submission.
     """
 
     submission: Submission
@@ -88,16 +90,28 @@
     uncommitted_since: float = 0.0
     has_complete_group: bool = False
     ended: bool = False
+    released: bool = False
+    owner_revision: int = 0
     needs_memory: bool = False
     results_changed: trio.Event = field(default_factory=trio.Event)
 
     def is_open(self) -> bool:
         """Return whether the submission has work left."""
-        return not self.ended and len(self.committed) < len(self.items)
+        return not self.is_stopped and len(self.committed) < len(self.items)
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether its items run no more."""
+        return self.ended or self.released
 
     def finish_item(self, result: SampleResult, now: float) -> None:
-        """Add a result that is still to be committed."""
+        """Add a result that is still to be committed.
+
+        No-op for an item that is listed already.
+        """
         state = self.items[result.id]
+        if state.phase is ItemPhase.COMMITTED:
+            return
         state.phase = ItemPhase.FINISHED
         if not self.uncommitted:
             self.uncommitted_since = now
@@ -121,11 +135,25 @@
         ):
             return False
         for result in results:
-            self.items[result.id].phase = ItemPhase.COMMITTED
+            item = self.items[result.id]
+            item.phase = ItemPhase.COMMITTED
+            if item.cancel_scope is not None:
+                item.cancel_scope.cancel()
         self.committed.extend(results)
+        self.notify_results()
+        return True
+
+    def stop_items(self) -> None:
+        """Cancel the running items and wake the readers."""
+        for item in self.items.values():
+            if item.cancel_scope is not None:
+                item.cancel_scope.cancel()
+        self.notify_results()
+
+    def notify_results(self) -> None:
+        """Wake the readers that wait for results."""
         self.results_changed.set()
         self.results_changed = trio.Event()
-        return True
 
 
 def make_submission_state(
@@ -178,13 +206,17 @@
         if state is None or state.ended:
             return
         state.ended = True
-        for item in state.items.values():
-            if item.cancel_scope is not None:
-                item.cancel_scope.cancel()
-        state.results_changed.set()
-        state.results_changed = trio.Event()
+        state.stop_items()
         self.notify_changed()
 
+    def release_submission(self, submission: str) -> None:
+        """Drop a submission that another pool may own."""
+        state = self.submissions.pop(submission, None)
+        if state is not None:
+            state.released = True
+            state.stop_items()
+            self.notify_changed()
+
     def clear(self) -> None:
         """End and drop all submissions, once this gateway lost the role."""
         for submission in list(self.submissions):
