--- a/features/platform.feature
+++ b/features/platform.feature
@@ -48,6 +48,12 @@
       | an event without a number                  |
       | a stream truncated within an event         |
       | a stream that ends within an event         |
+      | an order's response with the status 600    |
+      | an order's response with the status 000    |
+      | a report with the status 600               |
+      | a refusal with the status 600              |
+      | a 204 with a body                          |
+      | a 304 with a body                          |
       | nothing, as its port is closed             |
 
   # Bytes that are no answer may come until the gateway closes: none of them
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -78,3 +78,24 @@
       | submissions                  | 6     |
       | responses of samplers        | 6     |
       | entries of the store         | 10    |
+
+  # Reported: a sampler in trouble sent the status 000, which the caller got.
+  Scenario Outline: a sampler answers with the status <status>
+    When a sampler answers calls of each kind with the status <status>
+    Then callers see that it is no answer
+
+    Examples:
+      | status |
+      | 000    |
+      | 001    |
+      | 099    |
+      | 100    |
+      | 101    |
+      | 199    |
+      | 600    |
+      | 700    |
+      | 999    |
+      | 20     |
+      | 2000   |
+      | -20    |
+      | 2x0    |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,6 +6,7 @@
 from support import fuzz_cases
 from support import relay_cases
 from support.seed_checks import check_seeds
+from support import status_cases
 
 FUZZ_SEED = 20261205
 
@@ -44,3 +45,15 @@
 def feed_gateways(context: Context, count: int, fed: str) -> None:
     """Feed gateways; hypothesis draws the same seeds in each run."""
     check_seeds(count, FUZZ_SEED, lambda seed: fuzz_cases.run_seed(fed, seed))
+
+
+@when("a sampler answers calls of each kind with the status {status}")
+def answer_strangely(context: Context, status: str) -> None:
+    """Make a call of each kind."""
+    context.faults = status_cases.find_faults(status)
+
+
+@then("callers see that it is no answer")
+def check_no_answer(context: Context) -> None:
+    """Check that no call had an answer."""
+    assert not context.faults, context.faults
--- a/features/support/response_cases.py
+++ b/features/support/response_cases.py
@@ -73,3 +73,44 @@
         is_stream=True,
     ),
 }
+
+# Statuses that are none of HTTP's, and bodies that don't fit their status.
+STATUS_CASES: dict[str, ResponseCase] = {
+    "an order's response with the status 600": ResponseCase(
+        (make_response("", b"{}", "600 Fine"),),
+        ["unknown"],
+        operation="order",
+    ),
+    "an order's response with the status 000": ResponseCase(
+        (make_response("", b"{}", "000 Fine"),),
+        ["unknown"],
+        operation="order",
+    ),
+    "a report with the status 600": ResponseCase(
+        (make_response("", b"{}", "600 Fine"),),
+        ["no report"],
+        operation="report",
+    ),
+    "a refusal with the status 600": ResponseCase(
+        (make_response("c1", b"", "600 Full", "Not-Executed: 1\r\n"),),
+        ["may have run"],
+    ),
+    "a 204 with a body": ResponseCase(
+        (
+            make_response("c1", b"more", "204 No Content"),
+            make_response("c2", b"too"),
+        ),
+        ["204 ", "200 too"],
+        connections=2,
+        calls=2,
+    ),
+    "a 304 with a body": ResponseCase(
+        (
+            make_response("c1", b"more", "304 Not Modified"),
+            make_response("c2", b"too"),
+        ),
+        ["304 ", "200 too"],
+        connections=2,
+        calls=2,
+    ),
+}
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -23,6 +23,7 @@
 from .response_cases import make_response
 from .response_cases import make_stream
 from .response_cases import ResponseCase
+from .response_cases import STATUS_CASES
 from .response_cases import STREAM_CASES
 from .response_cases import TWO_EVENTS
 from .response_cases import UNFRAMED
@@ -205,6 +206,7 @@
         ["busy"],
         operation="report",
     ),
+    **STATUS_CASES,
     **ENDLESS_CASES,
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -14,6 +14,7 @@
 from .const import MAX_BUFFERED_RESPONSE_BYTES
 from .const import MAX_INFORMATIONAL_RESPONSES
 from .const import MAX_RESPONSE_BYTES
+from .const import MAX_STATUS
 from .const import MAX_TINY_CHUNKS
 from .const import POOL_IDLE_TIMEOUT_S
 from .const import POOL_MAX_IDLE_CONNECTIONS
@@ -23,6 +24,7 @@
 from .errors import ConnectError
 from .errors import ConnectionLostError
 from .errors import ConnectTimeoutError
+from .errors import InvalidResponseError
 from .errors import ResponseTooLargeError
 from .errors import UnsendableError
 from .models import encode_headers
@@ -135,7 +137,8 @@
     ) -> HttpStreamResponse:
         """Send a request; return its response without the body.
 
-        Raises UnsendableError, ConnectionLostError and ResponseTooLargeError.
+        Raises UnsendableError, ConnectionLostError, ResponseTooLargeError and
+        InvalidResponseError.
         """
         try:
             request = h11.Request(
@@ -153,6 +156,9 @@
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self.receive_event()
             if isinstance(event, h11.Response):
+                # Lower ones are informational, or refused by h11.
+                if event.status_code > MAX_STATUS:
+                    raise InvalidResponseError(f"status {event.status_code}")
                 response = HttpStreamResponse(event, self)
                 self._apply_keep_alive(response.headers)
                 return response
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/errors.py
@@ -17,6 +17,10 @@
     """A response exceeds what its reader takes; the rest was not read."""
 
 
+class InvalidResponseError(HttpError):
+    """A response whose status is none of HTTP's final ones."""
+
+
 class ConnectionLostError(HttpError):
     """Loss of the connection before the response was complete."""
 
