--- a/features/relay.feature
+++ b/features/relay.feature
@@ -99,3 +99,26 @@
       | 2000   |
       | -20    |
       | 2x0    |
+
+  # Reported: a machine kept bytes that were no answer until it ran out of
+  # memory. Each response ended at a bound; many streams together did not, and
+  # responses of tiny parts kept the other callers waiting.
+  Scenario Outline: samplers send <sent> without end to many calls
+    When samplers send <sent> without end to many calls
+    Then the gateway's memory is bounded and other callers are served
+
+    Examples:
+      | sent                               |
+      | a head                             |
+      | lines of a head                    |
+      | a body                             |
+      | an event                           |
+      | events that stall before their end |
+      | tiny chunks                        |
+      | lines of an event                  |
+      | comments                           |
+      | trailers                           |
+
+  Scenario: other callers get turns while a response of tiny chunks is read
+    When a response of tiny chunks is read that came at once
+    Then other tasks run after every 16 of them
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -3,6 +3,7 @@
 from behave.runner import Context
 from behave import then
 from behave import when
+from support import endless_load
 from support import fuzz_cases
 from support import relay_cases
 from support.seed_checks import check_seeds
@@ -57,3 +58,29 @@
 def check_no_answer(context: Context) -> None:
     """Check that no call had an answer."""
     assert not context.faults, context.faults
+
+
+@when("samplers send {sent} without end to many calls")
+def send_without_end(context: Context, sent: str) -> None:
+    """Make calls to them beside sound ones."""
+    context.grown, context.lost = endless_load.run_beside(sent)
+
+
+@then("the gateway's memory is bounded and other callers are served")
+def check_load(context: Context) -> None:
+    """Check the memory and the sound calls."""
+    assert context.grown < endless_load.MAX_GROWTH_BYTES, context.grown
+    assert not context.lost, context.lost
+
+
+@when("a response of tiny chunks is read that came at once")
+def read_tiny_chunks(context: Context) -> None:
+    """Read it beside another task."""
+    context.chunks, context.turns = endless_load.count_turns()
+
+
+@then("other tasks run after every {count:d} of them")
+def check_turns(context: Context, count: int) -> None:
+    """Check how often the other task ran."""
+    assert context.chunks == endless_load.TINY_COUNT, context.chunks
+    assert context.turns >= context.chunks // (count + 1), context.turns
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 client with a pool of keep-alive connections."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 import re
 import socket
 
@@ -12,6 +14,7 @@
 from .const import CONNECT_TIMEOUT_S
 from .const import KEEP_ALIVE_MARGIN_S
 from .const import MAX_BUFFERED_RESPONSE_BYTES
+from .const import MAX_EVENTS_PER_TURN
 from .const import MAX_INFORMATIONAL_RESPONSES
 from .const import MAX_RESPONSE_BYTES
 from .const import MAX_STATUS
@@ -96,29 +99,74 @@
 
 
 class ReceiveBuffer:
-    """Memory that the bodies of several responses may take together."""
+    """Memory that several responses may take together."""
 
     def __init__(self, max_bytes: int = MAX_BUFFERED_RESPONSE_BYTES) -> None:
         """Start empty."""
         self._max_bytes = max_bytes
         self._used_bytes = 0
 
-    async def read_body(self, response: HttpStreamResponse) -> bytes:
-        """Return a complete body; raises the errors of its `read_body`."""
-        parts: list[bytes] = []
-        size = 0
+    @contextmanager
+    def hold(self) -> Iterator["HeldBytes"]:
+        """Count what is held of one response until the context ends."""
+        held = HeldBytes(self)
         try:
-            async for part in response.iter_chunks():
-                size += len(part)
-                self._used_bytes += len(part)
-                if size > MAX_RESPONSE_BYTES:
-                    raise ResponseTooLargeError(f"{size} bytes of body")
-                if self._used_bytes > self._max_bytes:
-                    raise ResponseTooLargeError("too many bodies at once")
-                parts.append(part)
-            return b"".join(parts)
+            yield held
         finally:
-            self._used_bytes -= size
+            held.clear()
+
+    def resize(self, difference: int) -> None:
+        """Count bytes; raises ResponseTooLargeError when there are too many.
+
+        They are counted even then.
+        """
+        self._used_bytes += difference
+        if difference > 0 and self._used_bytes > self._max_bytes:
+            raise ResponseTooLargeError("too many responses at once")
+
+
+class HeldBytes:
+    """The bytes that are held of one response."""
+
+    def __init__(self, buffer: ReceiveBuffer) -> None:
+        """Start empty; `buffer` counts them with those of others."""
+        self._buffer = buffer
+        self._data = bytearray()
+
+    def __len__(self) -> int:
+        """Return how many bytes are held."""
+        return len(self._data)
+
+    def append(self, received: bytes) -> None:
+        """Hold more bytes; raises ResponseTooLargeError."""
+        self._data += received
+        self._buffer.resize(len(received))
+
+    def split_off(self, received: bytes, separator: bytes) -> list[bytes]:
+        """Hold more bytes; return, and drop, the parts that end within them.
+
+        What was searched before isn't searched again. Raises
+        ResponseTooLargeError.
+        """
+        search_from = max(0, len(self._data) - len(separator) + 1)
+        self.append(received)
+        if self._data.find(separator, search_from) < 0:
+            return []
+        *parts, rest = bytes(self._data).split(separator)
+        self._buffer.resize(len(rest) - len(self._data))
+        self._data = bytearray(rest)
+        return parts
+
+    def take(self) -> bytes:
+        """Return all bytes, and drop them."""
+        data = bytes(self._data)
+        self.clear()
+        return data
+
+    def clear(self) -> None:
+        """Drop all bytes."""
+        self._buffer.resize(-len(self._data))
+        self._data = bytearray()
 
 
 class HttpConnection:
@@ -131,6 +179,7 @@
         self.idle_since = now
         self.idle_timeout_s = POOL_IDLE_TIMEOUT_S
         self.is_broken = False
+        self._events_in_turn = 0
 
     async def send_request(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -176,7 +225,13 @@
             except h11.RemoteProtocolError as error:
                 raise ConnectionLostError(str(error)) from error
             if isinstance(event, h11.Event):
+                self._events_in_turn += 1
+                if self._events_in_turn > MAX_EVENTS_PER_TURN:
+                    # One read may have thousands of tiny chunks.
+                    self._events_in_turn = 0
+                    await trio.lowlevel.checkpoint()
                 return event
+            self._events_in_turn = 0
             try:
                 data = await self._stream.receive_some(RECEIVE_CHUNK_BYTES)
             except (
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
@@ -15,6 +15,8 @@
 # Tiny chunks take far more processor time than their bytes are worth.
 TINY_CHUNK_BYTES: Final = 64
 MAX_TINY_CHUNKS: Final = 16_384
+# Other tasks run after this many events of one read.
+MAX_EVENTS_PER_TURN: Final = 16
 # RFC 9110: clients treat other status codes as invalid.
 MAX_STATUS: Final = 599
 MAX_INFORMATIONAL_RESPONSES: Final = 16
--- a/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -4,8 +4,9 @@
 import re
 from typing import Final
 
+from ..adapters.http.client import HeldBytes
 from ..adapters.http.client import HttpStreamResponse
-from ..adapters.http.client import ReceiveBuffer
+from ..adapters.http.const import MAX_RESPONSE_BYTES
 from ..adapters.http.errors import HttpError
 from . import const
 from ..const import MEBIBYTE
@@ -17,6 +18,7 @@
 MAX_EVENT_BYTES: Final = MEBIBYTE
 STATUS_WRONG_INSTANCE: Final = 421
 DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+_EVENT_END: Final = b"\n\n"
 _COUNT_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 _NOT_RUN_STATUSES: Final = frozenset((STATUS_WRONG_INSTANCE,))
 
@@ -27,15 +29,15 @@
     def __init__(
         self,
         response: HttpStreamResponse,
-        buffer: ReceiveBuffer,
+        held: HeldBytes,
         load: InstanceLoad | None,
     ) -> None:
-        """Read the head of the response; `buffer` is for its body.
+        """Read the head of the response; `held` is for its body.
 
         `load` is what the instance reports in it.
         """
         self._response = response
-        self._buffer = buffer
+        self._held = held
         self.status = response.status
         self.headers = strip_hop_by_hop_headers(response.raw_headers)
         self.not_run = (
@@ -54,7 +56,11 @@
         Raises UpstreamError if it is truncated or too large.
         """
         try:
-            return await self._buffer.read_body(self._response)
+            async for chunk in self._response.iter_chunks():
+                self._held.append(chunk)
+                if len(self._held) > MAX_RESPONSE_BYTES:
+                    raise UpstreamError(f"{len(self._held)} bytes of body")
+            return self._held.take()
         except HttpError as error:
             raise UpstreamError(f"response was cut off: {error}") from error
 
@@ -75,22 +81,27 @@
         """
         if const.HEADER_CONTENT_ENCODING in self._response.headers:
             raise UpstreamError("stream is encoded")
-        buffer = b""
         is_event_stream = self._is_event_stream()
         async for chunk in self.iter_chunks():
-            *blocks, buffer = (buffer + chunk).split(b"\n\n")
-            for block in blocks:
+            for block in self._split_off(chunk):
                 event = _read_event(block)
                 if event is not None:
                     is_event_stream = True
                     yield event
-            if len(buffer) > MAX_EVENT_BYTES:
+            if len(self._held) > MAX_EVENT_BYTES:
                 raise UpstreamError(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        if buffer.strip():
+        if self._held.take().strip():
             raise UpstreamError("stream ended within an event")
         if not is_event_stream:
             raise UpstreamError("response has no events and isn't a stream")
 
+    def _split_off(self, chunk: bytes) -> list[bytes]:
+        """Return the events that end in a chunk; raises UpstreamError."""
+        try:
+            return self._held.split_off(chunk, _EVENT_END)
+        except HttpError as error:
+            raise UpstreamError(str(error)) from error
+
     def _is_event_stream(self) -> bool:
         """Return whether the head says that the body is a stream."""
         content_type = self._response.headers.get("content-type", "")
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -129,7 +129,8 @@
                     if response.status == STATUS_WRONG_INSTANCE
                     else self._read_load(instance, response.headers)
                 )
-                yield PlatformResponse(response, self._buffer, load)
+                with self._buffer.hold() as held:
+                    yield PlatformResponse(response, held, load)
         except ConnectError as error:
             raise UpstreamNotSentError(str(error)) from error
         except UnsendableError as error:
