--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -24,6 +24,8 @@
       | a stream whose version is gone is refused |
       | a stream that began before a release goes on |
       | a gateway that reaches no other refuses |
+      | two of five gateways are out of step as a release begins |
+      | a gateway was out of step as a release began |
       | another caller's stream is refused |
       | a stream of a route without resumption is refused |
       | an instance that restarted under its name gets no old stream |
@@ -38,7 +40,7 @@
       | case                                                 |
       | a record decides, whatever serves                    |
       | the record of another request                        |
-      | one version, a current list                          |
+      | one version, the stored record was just read         |
       | one version, most gateways replied in an outage      |
       | one version, few gateways replied in an outage       |
       | one version, nobody replied                          |
--- a/features/support/origin_decisions.py
+++ b/features/support/origin_decisions.py
@@ -34,14 +34,14 @@
     software: dict[str, list[str]],
     asked: int,
     answered: int,
-    is_current: bool,
+    is_confirmed: bool,
     record: StreamOrigin | None = None,
     fingerprint: str = "f1",
     is_history_complete: bool = True,
 ) -> str:
     """Return the decision on a stream as a word."""
     findings = OriginFindings(
-        record, software, asked, answered, is_current, is_history_complete
+        record, software, asked, answered, is_confirmed, is_history_complete
     )
     decided = decide_origin(findings, fingerprint)
     if isinstance(decided, SoftwareOrigin):
@@ -188,7 +188,7 @@
         lambda: decide(ONE, 5, 1, True, RECORD, "f2"),
         "OriginMismatch",
     ),
-    "one version, a current list": (
+    "one version, the stored record was just read": (
         lambda: decide(ONE, 5, 1, True),
         "pool v1",
     ),
--- a/features/support/stream_cases.py
+++ b/features/support/stream_cases.py
@@ -15,6 +15,7 @@
 from .caller_streams import find_mixed_texts
 from .caller_streams import find_problems
 from .caller_streams import LISTING_S
+from .caller_streams import make_stream_name
 from .caller_streams import make_stream_output
 from .caller_streams import make_streams
 from .caller_streams import request_stream
@@ -119,6 +120,53 @@
     return find_mixed_texts(fleet)
 
 
+async def resume_out_of_step(
+    fleet: GatewayFleet, names: set[str], heal: bool
+) -> list[str]:
+    """Resume streams at gateways that missed the start of a release.
+
+    `names` reach neither the store nor the others meanwhile. If they are to
+    heal, the streams are resumed at that moment.
+    """
+    earlier = CallerStream(make_stream_name(100))
+    await request_stream(fleet, "g0", earlier)
+    await trio.sleep(LISTING_S)
+    for name in names:
+        fleet.running[name].kv.faults.down = True
+    fleet.partition = set(names)
+    add_newer_samplers(fleet)
+    await trio.sleep(LISTING_S)
+    streams = make_streams(24)
+    async with trio.open_nursery() as nursery:
+        for stream in streams:
+            nursery.start_soon(request_stream, fleet, "g0", stream, 4)
+    begun = {
+        version
+        for made in fleet.cluster.generated_software.values()
+        for version in made.values()
+    }
+    if heal:
+        fleet.partition = set()
+        for name in names:
+            fleet.running[name].kv.faults.down = False
+    for stream in streams:
+        await request_stream(fleet, min(names), stream)
+    problems = find_mixed_texts(fleet)
+    if "v2" not in begun:
+        problems.append(f"streams of {sorted(begun)} only")
+    return problems
+
+
+async def check_pair_out_of_step(fleet: GatewayFleet) -> list[str]:
+    """Guard: two of five gateways took a stale list for a current one."""
+    return await resume_out_of_step(fleet, {"g3", "g4"}, heal=False)
+
+
+async def check_back_in_step(fleet: GatewayFleet) -> list[str]:
+    """Guard: a gateway was out of step while a newer version joined."""
+    return await resume_out_of_step(fleet, {"g4"}, heal=True)
+
+
 async def run_submission(
     fleet: GatewayFleet, name: str, work_s: float
 ) -> None:
@@ -170,6 +218,10 @@
     "an instance that restarted under its name gets no old stream": (
         check_restarted_instance
     ),
+    "two of five gateways are out of step as a release begins": (
+        check_pair_out_of_step
+    ),
+    "a gateway was out of step as a release began": check_back_in_step,
     "an interrupted item goes on at its version": check_interrupted_items,
     "an item of a checkpoint goes on at its version": check_checkpoint,
     **stream_refusal_cases.CASES,
@@ -177,10 +229,13 @@
 
 
 def run_case(name: str) -> list[str]:
-    """Run a case on three gateways; return what went wrong."""
+    """Run a case on three or five gateways; return what went wrong."""
 
     async def work() -> list[str]:
-        fleet = GatewayFleet(GatewayPlan(seed=SEED, is_first_start=True))
+        plan = GatewayPlan(gateways=5, seed=SEED, is_first_start=True)
+        if "out of step" not in name:
+            plan.gateways = 3
+        fleet = GatewayFleet(plan)
         fleet.cluster.make_output = make_stream_output
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/gateway_fleet.py
@@ -160,9 +160,10 @@
 class GatewayFleet:
     """Gateways over one store and one cluster of instances.
 
-    Those in `isolated` can't connect to others; those in `suspended` don't
-    reply to their followers. Peers compare the organisations of submissions,
-    and name them in pages of results, unless that is switched off.
+    Those in `isolated` can't connect to others, those in `partition` only to
+    each other; those in `suspended` don't reply to their followers. Peers
+    compare the organisations of submissions, and name them in pages of
+    results, unless that is switched off.
     """
 
     def __init__(self, plan: GatewayPlan) -> None:
@@ -174,6 +175,7 @@
         self.cloud = FakeCloud(Random(plan.seed), plan.require_fence)
         self.running: dict[str, RunningGateway] = {}
         self.isolated: set[str] = set()
+        self.partition: set[str] = set()
         self.suspended: set[str] = set()
         self.compares_organisations = True
         self.names_organisations = True
@@ -249,6 +251,8 @@
 
     def can_connect(self, first: str, second: str) -> bool:
         """Return whether two gateways can reach each other."""
+        if (first in self.partition) != (second in self.partition):
+            return False
         return first not in self.isolated and second not in self.isolated
 
     def find_holder(self, pool: str = POOL) -> str | None:
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/const.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/const.py
@@ -25,5 +25,7 @@
 RECORD_MEMORY_S: Final = ORIGIN_MEMORY_S + 6.0
 # A new stream waits at most this long for its version to be recorded.
 RECORD_WAIT_S: Final = 0.4
+# A resumed stream without a record waits this long for the stored versions.
+CONFIRM_TIMEOUT_S: Final = 0.25
 RECORD_RETRY_DELAY_S: Final = 0.05
 RECORD_CHECK_INTERVAL_S: Final = 10.0
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/coordinator.py
@@ -126,13 +126,15 @@
             for upstream, versions in reply.software.items():
                 software.setdefault(upstream, set()).update(versions)
         found = [r.origin for r in replies if r.origin is not None]
-        informed = [r for r in replies if r.is_informed]
+        is_confirmed = not found and await self.software.confirm(software)
+        for upstream, known_versions in software.items():
+            known_versions.update(self.software.list_versions(upstream))
         return OriginFindings(
             found[0] if found else None,
             software,
             len(names),
-            len(informed),
-            self._is_current(now) or any(r.is_current for r in informed),
+            sum(reply.is_informed for reply in replies),
+            is_confirmed,
             self.software.is_complete(software),
         )
 
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/decisions.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/decisions.py
@@ -20,16 +20,16 @@
 
     `software` has the versions that may have begun it, by upstream, of all
     that replied. `asked` counts other gateways, `answered` those that
-    replied and have read what served before; `is_current` is set when one of
-    all is up to date, `is_history_complete` when the stored record has all
-    versions that may have begun a stream.
+    replied and have read what served before; `is_confirmed` is set when the
+    stored record was read after the caller's request, `is_history_complete`
+    when it has all versions that may have begun a stream.
     """
 
     origin: StreamOrigin | None
     software: Mapping[str, Collection[str]]
     asked: int
     answered: int
-    is_current: bool
+    is_confirmed: bool
     is_history_complete: bool
 
 
@@ -88,11 +88,13 @@
 def _is_certain(findings: OriginFindings) -> bool:
     """Return whether a version that these gateways don't know is unlikely.
 
-    A gateway that knew two versions copied the origins of its streams to
-    others, and it lists both.
+    A version is recorded in the store before it begins a stream. While the
+    store is away none can be recorded, and half of the gateways know those
+    from before. A list of instances is no proof: one that is current by the
+    last contact may lack what came since.
     """
-    if findings.asked == 0:
-        return findings.is_current
-    if findings.answered == 0:
+    if findings.answered == 0 and findings.asked > 0:
         return False
-    return findings.is_current or 2 * findings.answered >= findings.asked
+    if findings.is_confirmed:
+        return True
+    return findings.asked > 0 and 2 * findings.answered >= findings.asked
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/messages.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/messages.py
@@ -33,8 +33,9 @@
     """What a gateway knows of a stream; `origin` is None without a record.
 
     `software` has the versions that may have begun a stream, by upstream.
-    They are up to date when `is_current`. `is_informed` is unset while the
-    gateway has not read since its start what served before.
+    `is_current`, whether they are up to date, is for earlier builds.
+    `is_informed` is unset while the gateway has not read since its start what
+    served before.
     """
 
     origin: StreamOrigin | None
--- a/packages/pistachiospar/src/pistachiospar/stream_origins/software_archive.py
+++ b/packages/pistachiospar/src/pistachiospar/stream_origins/software_archive.py
@@ -103,6 +103,23 @@
         record = self._records.get(upstream)
         return () if record is None else record.gone_at_s.keys()
 
+    async def confirm(self, upstreams: Iterable[str]) -> bool:
+        """Read the stored records; return whether that worked in time.
+
+        No stream can have begun at a version that they lack.
+        """
+        with trio.move_on_after(const.CONFIRM_TIMEOUT_S):
+            for upstream in upstreams:
+                key = const.PREFIX_SOFTWARE + upstream
+                found = await self._kv.get_item(key)
+                if isinstance(found, Err):
+                    return False
+                item = found.ok_value
+                if item is not None:
+                    self.apply_event(KvEvent(key, item.value, item.revision))
+            return True
+        return False
+
     async def record_version(self, upstream: str, version: str) -> bool:
         """Record that a version serves; return whether it is recorded.
 
