--- a/features/platform.feature
+++ b/features/platform.feature
@@ -52,6 +52,11 @@
       | an order's response with the status 000    |
       | a report with the status 600               |
       | a refusal with the status 600              |
+      | a weight version of 31 digits              |
+      | a weight version of 5000 digits            |
+      | a weight version of other digits           |
+      | an event whose weight version can't be read |
+      | an event's number of 5000 digits           |
       | a 204 with a body                          |
       | a 304 with a body                          |
       | nothing, as its port is closed             |
@@ -138,6 +143,9 @@
       | a port of other digits |
       | a port of 5000 digits |
       | more slots than a float can count |
+      | a start time of 31 digits |
+      | a weight version of 31 digits |
+      | a model's name of a megabyte |
       | a software version of a megabyte |
       | a name outside ASCII |
       | a name with a line break |
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -122,3 +122,35 @@
   Scenario: other callers get turns while a response of tiny chunks is read
     When a response of tiny chunks is read that came at once
     Then other tasks run after every 16 of them
+
+  # Reported: one odd entry among those of the samplers ended the machines
+  # that read the list, or they stopped following it.
+  Scenario Outline: another writer lists entries with <value>
+    When another writer lists entries with <value>, and a sampler replaces one
+    Then the calls and steps before and after it are served
+
+    Examples:
+      | value                              |
+      | lists nested too deeply            |
+      | objects nested too deeply          |
+      | a number of 31 digits              |
+      | a number of 5000 digits            |
+      | a negative number of 31 digits     |
+      | a number above any double          |
+      | a model's version of 31 digits     |
+      | a port above the largest           |
+      | a port of 400 digits               |
+      | a negative port                    |
+      | a text of a megabyte               |
+      | a lone surrogate                   |
+
+  # A weight version that can't be stored ended the holder of the pool.
+  Scenario Outline: a sampler names a weight version of <digits> digits
+    When one of two samplers names a weight version of <digits> digits
+    Then the calls and steps before and after it are served
+
+    Examples:
+      | digits |
+      | 16     |
+      | 31     |
+      | 5000   |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 from support import endless_load
 from support import fuzz_cases
+from support import odd_entries
 from support import relay_cases
 from support.seed_checks import check_seeds
 from support import status_cases
@@ -84,3 +85,21 @@
     """Check how often the other task ran."""
     assert context.chunks == endless_load.TINY_COUNT, context.chunks
     assert context.turns >= context.chunks // (count + 1), context.turns
+
+
+@when("another writer lists entries with {value}, and a sampler replaces one")
+def list_odd_entries(context: Context, value: str) -> None:
+    """List an entry for each field."""
+    context.problems = odd_entries.list_beside(value)
+
+
+@when("one of two samplers names a weight version of {digits:d} digits")
+def name_odd_version(context: Context, digits: int) -> None:
+    """Run steps at both samplers."""
+    context.problems = odd_entries.stream_version("9" * digits)
+
+
+@then("the calls and steps before and after it are served")
+def check_odd(context: Context) -> None:
+    """Check that nothing was lost, and that no error was unforeseen."""
+    assert not context.problems, context.problems
--- a/features/support/foreign_entries.py
+++ b/features/support/foreign_entries.py
@@ -47,6 +47,14 @@
 _add("a port of other digits", address="10.0.0.1:\u0663")
 _add("a port of 5000 digits", address="10.0.0.1:" + "9" * 5000)
 _add("more slots than a float can count", slots=10**400)
+_add("a start time of 31 digits", born=10**30)
+_add(
+    "a weight version of 31 digits", models=[{"name": "m", "version": 10**30}]
+)
+_add(
+    "a model's name of a megabyte",
+    models=[{"name": "m" * 10**6, "version": 1}],
+)
 _add("a software version of a megabyte", version="v" * 1_000_000)
 _add("a name outside ASCII", key="servers/i-\u0101")
 _add("a name with a line break", key="servers/i-1\r\nHost: x")
--- a/features/support/response_cases.py
+++ b/features/support/response_cases.py
@@ -114,3 +114,40 @@
         calls=2,
     ),
 }
+
+
+def _make_versioned(version: str) -> bytes:
+    """Return a stream whose head names a weight version."""
+    named = f"Weight-Versions: {version}".encode()
+    return make_stream(*TWO_EVENTS).replace(b"Weight-Versions: 4", named)
+
+
+# Numbers that nothing counts up to. Results with one could not be stored,
+# which ended the holder of the pool.
+NUMBER_CASES: dict[str, ResponseCase] = {
+    "a weight version of 31 digits": ResponseCase(
+        (_make_versioned("9" * 31),),
+        ["None: 1 a", "2 b", "end"],
+        is_stream=True,
+    ),
+    "a weight version of 5000 digits": ResponseCase(
+        (_make_versioned("9" * 5000),),
+        ["None: 1 a", "2 b", "end"],
+        is_stream=True,
+    ),
+    "a weight version of other digits": ResponseCase(
+        (_make_versioned("\u0663"),),
+        ["None: 1 a", "2 b", "end"],
+        is_stream=True,
+    ),
+    "an event whose weight version can't be read": ResponseCase(
+        (make_stream(b"id: 1\nweight-versions: 5x\ndata: a\n\n"),),
+        ["4: may have run"],
+        is_stream=True,
+    ),
+    "an event's number of 5000 digits": ResponseCase(
+        (make_stream(b"id: %s\ndata: a\n\n" % (b"9" * 5000)),),
+        ["4: may have run"],
+        is_stream=True,
+    ),
+}
--- a/features/support/sampler_responses.py
+++ b/features/support/sampler_responses.py
@@ -22,6 +22,7 @@
 from .response_cases import CHANGED
 from .response_cases import make_response
 from .response_cases import make_stream
+from .response_cases import NUMBER_CASES
 from .response_cases import ResponseCase
 from .response_cases import STATUS_CASES
 from .response_cases import STREAM_CASES
@@ -207,6 +208,7 @@
         operation="report",
     ),
     **STATUS_CASES,
+    **NUMBER_CASES,
     **ENDLESS_CASES,
     "nothing, as its port is closed": ResponseCase(
         (), ["not sent"], connections=0
--- a/packages/pistachiospar/src/pistachiospar/platform/instances.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/instances.py
@@ -16,18 +16,21 @@
 
 MAX_NAME_CHARACTERS: Final = 256
 MAX_SLOTS: Final = 1_000_000
+# Larger numbers can't be sent to other gateways.
+MAX_NUMBER: Final = 2**53
 # A name is sent in a header.
 _HEADER_TEXT_PATTERN: Final = re.compile("[!-~]([ -~]*[!-~])?")
 
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
 class HeldModelMessage(msgspec.Struct):
     """A model and the version of its weights."""
 
-    name: str
-    version: int
+    name: Name
+    version: Number
 
 
 class InstanceMessage(msgspec.Struct):
@@ -43,7 +46,7 @@
     slots: SlotCount
     state: str
     version: Name
-    born: int = 0
+    born: Number = 0
     models: list[HeldModelMessage] = []
 
 
--- a/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -19,6 +19,7 @@
 STATUS_WRONG_INSTANCE: Final = 421
 DECIMAL_PATTERN: Final = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 _EVENT_END: Final = b"\n\n"
+_NUMBER_PATTERN: Final = re.compile(r"[0-9]{1,15}")
 _COUNT_PATTERN: Final = re.compile(r"[0-9]{1,9}")
 _NOT_RUN_STATUSES: Final = frozenset((STATUS_WRONG_INSTANCE,))
 
@@ -110,8 +111,11 @@
 
 
 def _read_number(text: str | None) -> int | None:
-    """Parse a decimal integer, None for anything else."""
-    if text is None or not text.strip().isdecimal():
+    """Parse a decimal integer, None for anything else.
+
+    A longer one than any count could not be stored.
+    """
+    if text is None or not _NUMBER_PATTERN.fullmatch(text.strip()):
         return None
     return int(text)
 
@@ -137,7 +141,8 @@
 def _read_event(block: bytes) -> StreamEvent | None:
     """Parse one event, None for a comment.
 
-    Raises UpstreamError for an event without a number.
+    Raises UpstreamError for an event without a number, or with a weight
+    version that can't be read.
     """
     number: int | None = None
     version: int | None = None
@@ -151,6 +156,8 @@
             data.append(value)
         elif name == const.HEADER_WEIGHT_VERSIONS:
             version = _read_number(value)
+            if version is None:
+                raise UpstreamError("event has an unreadable weight version")
     if number is None:
         if all(line.startswith(b":") for line in block.splitlines() if line):
             return None
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -33,6 +33,7 @@
 from ..routing.instances import ListedInstance
 from ..telemetry.logs import log_event
 from .instances import HeldModelMessage
+from .instances import Number
 from .sampler_headers import make_headers
 from .sampler_responses import DECIMAL_PATTERN
 from .sampler_responses import parse_load
@@ -65,11 +66,11 @@
     """
 
     busy: bool = False
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
+    sequence: Number = 0
+    waiting: Number = 0
+    running: Number = 0
     models: list[HeldModelMessage] = []
-    born: int = 0
+    born: Number = 0
     kvUsed: object = None
     kvTotal: object = None
 
