--- a/features/platform.feature
+++ b/features/platform.feature
@@ -50,6 +50,8 @@
       | a stream that ends within an event         |
       | an order's response with the status 600    |
       | an order's response with the status 000    |
+      | an order's response that is a call's       |
+      | a report that is a call's response         |
       | a report with the status 600               |
       | a refusal with the status 600              |
       | a weight version of 31 digits              |
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -154,3 +154,8 @@
       | 16     |
       | 31     |
       | 5000   |
+
+  # A late copy of a rejection was taken for the answer of the next attempt.
+  Scenario: a sampler rejects calls, and sends each rejection again late
+    When unsafe calls are rejected, and each rejection is sent again late
+    Then none runs twice, and none that ran is refused
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 from support import endless_load
 from support import fuzz_cases
+from support import late_copies
 from support import odd_entries
 from support import relay_cases
 from support.seed_checks import check_seeds
@@ -103,3 +104,15 @@
 def check_odd(context: Context) -> None:
     """Check that nothing was lost, and that no error was unforeseen."""
     assert not context.problems, context.problems
+
+
+@when("unsafe calls are rejected, and each rejection is sent again late")
+def copy_rejections(context: Context) -> None:
+    """Make the calls."""
+    context.faults = late_copies.find_faults()
+
+
+@then("none runs twice, and none that ran is refused")
+def check_copies(context: Context) -> None:
+    """Check runs and answers."""
+    assert not context.faults, context.faults
--- a/features/support/response_cases.py
+++ b/features/support/response_cases.py
@@ -86,6 +86,12 @@
         ["unknown"],
         operation="order",
     ),
+    "an order's response that is a call's": ResponseCase(
+        (make_response("c1", b"{}"),), ["unknown"], operation="order"
+    ),
+    "a report that is a call's response": ResponseCase(
+        (make_response("c1", b"{}"),), ["no report"], operation="report"
+    ),
     "a report with the status 600": ResponseCase(
         (make_response("", b"{}", "600 Fine"),),
         ["no report"],
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
+from collections import deque
 from contextlib import asynccontextmanager
 from contextlib import contextmanager
 import re
@@ -16,6 +17,7 @@
 from .const import MAX_BUFFERED_RESPONSE_BYTES
 from .const import MAX_EVENTS_PER_TURN
 from .const import MAX_INFORMATIONAL_RESPONSES
+from .const import MAX_KNOWN_EXCHANGES
 from .const import MAX_RESPONSE_BYTES
 from .const import MAX_STATUS
 from .const import MAX_TINY_CHUNKS
@@ -180,6 +182,7 @@
         self.idle_timeout_s = POOL_IDLE_TIMEOUT_S
         self.is_broken = False
         self._events_in_turn = 0
+        self._exchanges: deque[str] = deque(maxlen=MAX_KNOWN_EXCHANGES)
 
     async def send_request(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -253,6 +256,18 @@
         self.idle_since = now
         return True
 
+    def record_exchange(self, exchange: str) -> None:
+        """Record that a response to an exchange may come here."""
+        if exchange:
+            self._exchanges.append(exchange)
+
+    def may_carry(self, exchange: str) -> bool:
+        """Return whether no earlier attempt of an exchange was sent here.
+
+        A late second response to that one would be taken for the next one's.
+        """
+        return not exchange or exchange not in self._exchanges
+
     def is_expired(self, now: float) -> bool:
         """Return whether this connection was idle for too long."""
         return now - self.idle_since >= self.idle_timeout_s
@@ -322,19 +337,24 @@
         headers: Headers | None = None,
         body: bytes = b"",
         new_connection: bool = False,
+        exchange: str = "",
     ) -> AsyncIterator[HttpStreamResponse]:
         """Send a request; read the response's body within the context.
 
-        `new_connection` bypasses the pool. A Host among `headers` replaces
-        the pool's address. Raises ConnectError and UnsendableError when
-        nothing was sent and ConnectionLostError when the connection ended too
-        soon.
+        `new_connection` bypasses the pool. Requests with the same `exchange`
+        are attempts of one call, each on a connection of its own. A Host
+        among `headers` replaces the pool's address. Raises ConnectError and
+        UnsendableError when nothing was sent and ConnectionLostError when the
+        connection ended too soon.
         """
         connection = (
-            None if new_connection else self._pop_idle(trio.current_time())
+            None
+            if new_connection
+            else self._pop_idle(trio.current_time(), exchange)
         )
         if connection is None:
             connection = await self._open_connection()
+        connection.record_exchange(exchange)
         all_headers = [
             ("Content-Length", str(len(body))),
             *(headers or []),
@@ -404,10 +424,15 @@
             connection.close()
         self._idle.clear()
 
-    def _pop_idle(self, now: float) -> HttpConnection | None:
-        """Return the last used reusable connection, or None."""
-        while self._idle:
-            connection = self._idle.pop()
+    def _pop_idle(self, now: float, exchange: str) -> HttpConnection | None:
+        """Return the last used reusable connection, or None.
+
+        Those of earlier attempts of the exchange stay idle.
+        """
+        for connection in reversed(self._idle):
+            if not connection.may_carry(exchange):
+                continue
+            self._idle.remove(connection)
             if connection.is_reusable(now):
                 return connection
             connection.close()
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/const.py
@@ -24,6 +24,8 @@
 SEND_PIECE_BYTES: Final = 32 * KIBIBYTE
 IDLE_TIMEOUT_S: Final = 60.0
 READ_TIMEOUT_S: Final = 30.0
+# Exchanges of which a connection knows that it carried an attempt.
+MAX_KNOWN_EXCHANGES: Final = 32
 POOL_IDLE_TIMEOUT_S: Final = 20.0
 POOL_MAX_IDLE_CONNECTIONS: Final = 64
 CONNECT_TIMEOUT_S: Final = 2.0
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -113,7 +113,11 @@
         sent_at = trio.current_time()
         try:
             async with pool.request(
-                call.method, call.target, headers, call.body
+                call.method,
+                call.target,
+                headers,
+                call.body,
+                exchange=call.request_id,
             ) as response:
                 response_id = response.headers.get(
                     const.HEADER_REQUEST_ID, call.request_id
@@ -170,6 +174,9 @@
             return LoadOrderOutcome.REFUSED
         except (HttpError, trio.TooSlowError):
             return LoadOrderOutcome.UNKNOWN
+        if response.headers.get(const.HEADER_REQUEST_ID):
+            # A late second response to a call; orders have no id.
+            return LoadOrderOutcome.UNKNOWN
         self._read_announcements(
             instance, response.status, response.headers, sent_at
         )
@@ -190,6 +197,8 @@
                     headers,
                     max_bytes=MAX_REPORT_BYTES,
                 )
+            if response.headers.get(const.HEADER_REQUEST_ID):
+                return Err("received the response to a call")
             self._read_announcements(
                 instance, response.status, response.headers, sent_at
             )
