--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -122,6 +122,7 @@
       | a holder that stops in a store outage loses no work |
       | a holder that hung while another held the pool loads it anew |
       | a holder whose lease ended for nobody keeps its work |
+      | an id too long for the keys of results is refused  |
       | submissions with a hole block no others            |
       | a step runs beside one whose route was removed     |
       | a step goes on when its route returns              |
--- a/features/submissions.feature
+++ b/features/submissions.feature
@@ -37,6 +37,10 @@
       | replies are lost                                    |
       | the next holder goes on after a commit without reply |
       | results that are known already are refused          |
+      | texts have three bytes a letter                      |
+      | a text is larger than a value                        |
+      | another submission's keys are too long               |
+      | a page has three bytes a letter                      |
       | another submission has another owner                 |
       | another one's record isn't as expected               |
 
--- a/features/support/commit_cases.py
+++ b/features/support/commit_cases.py
@@ -9,6 +9,8 @@
 from random import Random
 
 import msgspec
+from pistachiospar.const import MEBIBYTE
+from pistachiospar.platform.callers import encode_results as encode_page
 from pistachiospar.pool_holders.models import Role
 from pistachiospar.submissions.archive import Archive
 from pistachiospar.submissions.archive import encode_results
@@ -18,8 +20,10 @@
 from pistachiospar.submissions.keys import make_results_key
 from pistachiospar.submissions.models import Item
 from pistachiospar.submissions.models import OwnerRecord
+from pistachiospar.submissions.models import ResultPage
 from pistachiospar.submissions.models import SampleResult
 from pistachiospar.submissions.models import Submission
+from pistachiospar.submissions.reader import make_page
 from pistachiospar.submissions.registry import make_submission_state
 from pistachiospar.submissions.registry import SubmissionRegistry
 from pistachiospar.telemetry.metrics import Metrics
@@ -32,6 +36,7 @@
 
 ROLE_KEY = "holder-key"
 ITEM_COUNT = 12
+GEORGIAN = "\u10d0"
 SEEDS_PER_CASE = 200
 COMMIT_TIMEOUT_S = 60.0
 
@@ -221,6 +226,55 @@
     return is_stored and run.reloaded == ["moved"]
 
 
+async def commit_texts(texts: list[str]) -> CommitRun:
+    """Commit an item of each text at once."""
+    run = CommitRun(1)
+    for name, text in zip(run.state.items, texts, strict=True):
+        run.state.finish_item(SampleResult(name, True, text, [1], ""), 0.0)
+    with trio.move_on_after(COMMIT_TIMEOUT_S):
+        await run.committer.flush(run.role)
+    return run
+
+
+async def check_wide_letters() -> bool:
+    """Guard: a batch was bounded in letters, a value is in bytes."""
+    run = await commit_texts([GEORGIAN * 60_000] * ITEM_COUNT)
+    return await run.is_whole()
+
+
+async def check_large_text() -> bool:
+    """Guard: a value that is refused for good was written again forever."""
+    large = GEORGIAN * 400_000
+    run = await commit_texts([large] + ["short"] * (ITEM_COUNT - 1))
+    completed = [r.completed for r in run.state.committed if r.id == "i0"]
+    return completed == [False] and await run.is_whole()
+
+
+async def check_long_key() -> bool:
+    """Guard: a key that is refused for good stopped all others."""
+    run = CommitRun(1)
+    name = "x" * 190
+    submission = msgspec.structs.replace(run.state.submission, id=name)
+    other = make_submission_state(submission, 0.0, 0.0, 9.0, 99.0)
+    run.registry.submissions[name] = other
+    for state in (other, run.state):
+        for item in state.items:
+            state.finish_item(SampleResult(item, True, item, [1], ""), 0.0)
+    with trio.move_on_after(COMMIT_TIMEOUT_S):
+        await run.committer.flush(run.role)
+    return not other.committed and await run.is_whole()
+
+
+async def check_pages() -> bool:
+    """Guard: a page was bounded in letters, a response is in bytes."""
+    results = [
+        SampleResult(str(n), True, GEORGIAN * 90_000, [1], "")
+        for n in range(9)
+    ]
+    page = ResultPage(9, make_page(results, 0))
+    return len(encode_page(page, 0)) <= MEBIBYTE and len(page.results) > 1
+
+
 CASES: dict[str, Callable[[], Awaitable[bool]]] = {
     "replies arrive late and out of order": check_late_replies,
     "replies are lost": check_lost_replies,
@@ -228,6 +282,10 @@
         check_stopped_commit
     ),
     "results that are known already are refused": check_repeated_results,
+    "texts have three bytes a letter": check_wide_letters,
+    "a text is larger than a value": check_large_text,
+    "another submission's keys are too long": check_long_key,
+    "a page has three bytes a letter": check_pages,
     "another submission has another owner": check_beside_moved,
     "another one's record isn't as expected": check_beside_contradiction,
 }
--- a/features/support/holder_cases.py
+++ b/features/support/holder_cases.py
@@ -223,6 +223,17 @@
     )
 
 
+async def check_long_ids(fleet: GatewayFleet) -> bool:
+    """Guard: the keys of results are longer than those that were checked."""
+    found: list[int] = []
+    for length in (188, 189, 190, 191, 192):
+        history = make_history("x" * length, 3)
+        request = make_submission_request(history)
+        response = await fleet.send_request("g0", request)
+        found.append(response.status if response is not None else 0)
+    return found == [202, 400, 400, 400, 400]
+
+
 CASES: dict[str, Callable[[GatewayFleet], Awaitable[bool]]] = {
     "a holder that is cut off from the store notices it": check_cut_holder,
     "a holder that stays cut off commits without pauses": check_long_cut,
@@ -230,6 +241,7 @@
         check_holder_in_between
     ),
     "a holder whose lease ended for nobody keeps its work": check_lapsed_lease,
+    "an id too long for the keys of results is refused": check_long_ids,
     "submissions with a hole block no others": check_damaged_submissions,
     "a holder that stops in a store outage loses no work": (
         check_stop_in_outage
--- a/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
+++ b/packages/pistachiospar-standins/src/pistachiospar_standins/fakes/kv.py
@@ -23,6 +23,9 @@
 from ..kv.store import StoredItem
 
 CALL_TIMEOUT_S = 2.0
+MAX_ROWS = 32
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 1_048_576
 MAX_WATCH_SILENCE_S = 10.0
 
 
@@ -99,7 +102,7 @@
         self, transaction: KvTransaction
     ) -> Result[KvWriteResult, KvError]:
         """Apply a transaction if all its checks hold."""
-        fault = await self._begin_call("write")
+        fault = await self._begin_call("write") or _find_refusal(transaction)
         if fault is not None:
             return Err(fault)
         applied = self._store.transact(transaction, trio.current_time())
@@ -285,6 +288,23 @@
             yield Ok(events)
 
 
+def _find_refusal(transaction: KvTransaction) -> KvError | None:
+    """Return why a transaction isn't taken, None if it is."""
+    keys = [
+        *(check.key for check in transaction.checks),
+        *(put.key for put in transaction.puts),
+        *transaction.removals,
+    ]
+    values = [put.value for put in transaction.puts]
+    if len(keys) > MAX_ROWS:
+        return KvError(KvFault.REFUSED, f"{len(keys)} rows")
+    if max(len(key.encode()) for key in keys) > MAX_KEY_BYTES:
+        return KvError(KvFault.REFUSED, "a key is too long")
+    if max(map(len, values), default=0) > MAX_VALUE_BYTES:
+        return KvError(KvFault.REFUSED, "a value is too large")
+    return None
+
+
 def _make_item(item: StoredItem) -> KvItem:
     """Convert an item of the store to one of the port."""
     return KvItem(item.key, item.value, item.revision)
--- a/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/submission_calls.py
@@ -27,7 +27,7 @@
 from ..ports.kv import KvFault
 from ..submissions.archive import Archive
 from ..submissions.const import MAX_KEY_BYTES
-from ..submissions.keys import make_part_key
+from ..submissions.keys import measure_longest_key
 from ..submissions.models import OwnerRecord
 from ..submissions.models import Submission
 from ..submissions.reader import SubmissionReader
@@ -98,8 +98,7 @@
             problem = refuse_input("method-not-allowed", "use POST", 405)
             await self._refuse(exchange, caller, problem)
             return
-        part_key_bytes = len(make_part_key(caller.id, 0).encode())
-        if not caller.id or part_key_bytes > MAX_KEY_BYTES:
+        if not caller.id or measure_longest_key(caller.id) > MAX_KEY_BYTES:
             problem = refuse_input("bad-id", "request id missing or too long")
             await self._refuse(exchange, caller, problem)
             return
--- a/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
+++ b/packages/pistachiospar/src/pistachiospar/kv_access/relayed.py
@@ -208,7 +208,13 @@
         can succeed only once.
         """
         match reply.fault:
-            case None | KvFault.NO_LEASE | KvFault.COMPACTED | KvFault.DAMAGED:
+            case (
+                None
+                | KvFault.REFUSED
+                | KvFault.NO_LEASE
+                | KvFault.COMPACTED
+                | KvFault.DAMAGED
+            ):
                 return False
             case KvFault.NOT_SENT:
                 return True
--- a/packages/pistachiospar/src/pistachiospar/platform/store.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/store.py
@@ -27,6 +27,8 @@
 
 Message = TypeVar("Message")
 STATUS_GONE = 410
+# The call itself is wrong: too large, too long, or for another's key.
+_REFUSED_STATUSES = frozenset((400, 403, 405, 411, 413, 414, 415, 422, 431))
 
 
 class ItemMessage(msgspec.Struct):
@@ -255,12 +257,22 @@
             return Ok((response.status, response.body))
         if response.status == STATUS_GONE:
             return Err(KvError(KvFault.COMPACTED, target))
-        # 429, 503 and the other refusals guarantee that nothing was done.
-        refused = response.status < 500 or response.status == 503
-        fault = KvFault.NOT_SENT if refused else KvFault.UNKNOWN
+        fault = classify_status(response.status)
         return Err(KvError(fault, f"{target}: status {response.status}"))
 
 
+def classify_status(status: int) -> KvFault:
+    """Return what a status that is an error tells of a call.
+
+    429, 503 and the other refusals guarantee that nothing was done.
+    """
+    if status in _REFUSED_STATUSES:
+        return KvFault.REFUSED
+    if status < 500 or status == 503:
+        return KvFault.NOT_SENT
+    return KvFault.UNKNOWN
+
+
 def _encode_value(value: bytes) -> str:
     """Encode a value as base64."""
     return b64encode(value).decode("ascii")
--- a/packages/pistachiospar/src/pistachiospar/ports/kv.py
+++ b/packages/pistachiospar/src/pistachiospar/ports/kv.py
@@ -20,12 +20,14 @@
     """What is known of the effect of a failed call.
 
     NOT_SENT and NO_LEASE (the lease has expired) certainly had no effect;
-    UNKNOWN may have had one. COMPACTED is the service's response to a watch
-    whose changes it no longer has. DAMAGED is a read of records of which some
-    are missing.
+    nor had REFUSED, and no repetition will have one: the service doesn't
+    take such a call. UNKNOWN may have had an effect. COMPACTED is the
+    service's response to a watch whose changes it no longer has. DAMAGED is a
+    read of records of which some are missing.
     """
 
     NOT_SENT = "not-sent"
+    REFUSED = "refused"
     NO_LEASE = "no-lease"
     COMPACTED = "compacted"
     UNKNOWN = "unknown"
--- a/packages/pistachiospar/src/pistachiospar/submissions/archive.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/archive.py
@@ -6,6 +6,7 @@
 from result import Result
 
 from . import const
+from ..helpers.text import count_bytes
 from ..pool_holders.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
@@ -208,6 +209,11 @@
     return msgspec.msgpack.decode(value, type=OwnerRecord)
 
 
+def measure_result(result: SampleResult) -> int:
+    """Return about how many bytes a result takes."""
+    return const.RESULT_OVERHEAD_BYTES + count_bytes(result.text)
+
+
 def encode_results(results: list[SampleResult]) -> bytes:
     """Encode the results that are stored under one key."""
     return msgspec.msgpack.encode(results)
--- a/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/checkpoints.py
@@ -16,6 +16,7 @@
 
 from . import const
 from ..helpers.decoding import DECODE_ERRORS
+from ..helpers.text import count_bytes
 from ..pool_holders.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
@@ -197,9 +198,10 @@
 def measure_progress(progress: Progress) -> int:
     """Return about how many bytes an item's progress takes, not compressed."""
     events = sum(
-        len(event) + const.EVENT_OVERHEAD_BYTES for event in progress.events
+        count_bytes(event) + const.EVENT_OVERHEAD_BYTES
+        for event in progress.events
     )
-    return const.ITEM_OVERHEAD_BYTES + len(progress.item) + events
+    return const.ITEM_OVERHEAD_BYTES + count_bytes(progress.item) + events
 
 
 def snapshot_progress(state: ItemState) -> Progress:
--- a/packages/pistachiospar/src/pistachiospar/submissions/commits.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/commits.py
@@ -10,17 +10,20 @@
 from ..pool_holders.models import Role
 from ..ports.kv import KeyValue
 from ..ports.kv import KvCheck
+from ..ports.kv import KvFault
 from ..ports.kv import KvPut
 from ..ports.kv import KvTransaction
 from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from .archive import Archive
 from .archive import encode_results
+from .archive import measure_result
 from .keys import make_owner_key
 from .keys import make_results_key
 from .models import SampleResult
 from .registry import SubmissionRegistry
 from .registry import SubmissionState
+from .runner import fail_item
 
 Batch = list[tuple[SubmissionState, list[SampleResult]]]
 
@@ -83,7 +86,10 @@
         return bool(batch)
 
     async def _commit_batch(self, role: Role, batch: Batch) -> None:
-        """Commit one batch, retrying until its outcome is known."""
+        """Commit one batch, retrying until its outcome is known.
+
+        One that the service doesn't take is committed in parts.
+        """
         fence = role.fence
         checks = [KvCheck(role.key, fence)]
         puts: list[KvPut] = []
@@ -100,6 +106,10 @@
             written = await self._kv.commit(transaction)
             if not isinstance(written, Err):
                 break
+            if written.err_value.fault is KvFault.REFUSED:
+                detail = written.err_value.detail
+                await self._commit_parts(role, batch, detail)
+                return
             self._metrics.count("commit_faults")
             await trio.sleep(
                 const.COMMIT_RETRY_DELAY_S * (0.5 + self._rng.random())
@@ -114,6 +124,43 @@
         else:
             await self._read_back_batch(batch)
 
+    async def _commit_parts(
+        self, role: Role, batch: Batch, detail: str
+    ) -> None:
+        """Commit the halves of a batch that the service doesn't take.
+
+        A result that isn't taken by itself becomes a failed one; if that
+        isn't either, the item stays unlisted.
+        """
+        log_event("commit_refused", submissions=len(batch), error=detail)
+        self._metrics.count("commits_refused")
+        if len(batch) > 1:
+            middle = len(batch) // 2
+            await self._commit_batch(role, batch[:middle])
+            await self._commit_batch(role, batch[middle:])
+            return
+        state, results = batch[0]
+        if len(results) > 1:
+            middle = len(results) // 2
+            await self._commit_batch(role, [(state, results[:middle])])
+            await self._commit_batch(role, [(state, results[middle:])])
+            return
+        result = results[0]
+        state.uncommitted = [r for r in state.uncommitted if r != result]
+        if result.completed:
+            item = state.items[result.id]
+            failed = fail_item(item, "unstorable", detail)
+            state.finish_item(failed, self._read_now())
+            await self._commit_batch(role, [(state, [failed])])
+            return
+        self._metrics.count("results_unstorable")
+        log_event(
+            "result_unstorable",
+            submission=state.submission.id,
+            item=result.id,
+            error=detail,
+        )
+
     async def _read_back_batch(self, batch: Batch) -> None:
         """Take over the stored results after a transaction that did not win.
 
@@ -198,10 +245,10 @@
             break
         results: list[SampleResult] = []
         for result in state.uncommitted:
-            if size > const.MAX_COMMIT_BYTES:
+            size += measure_result(result)
+            if size > const.MAX_COMMIT_BYTES and (batch or results):
                 break
             results.append(result)
-            size += len(result.text)
         if results:
             batch.append((state, results))
     return batch
--- a/packages/pistachiospar/src/pistachiospar/submissions/const.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/const.py
@@ -22,6 +22,8 @@
 MAX_COMMIT_SUBMISSIONS: Final = 10
 MAX_COMMIT_BYTES: Final = MEBIBYTE // 2
 COMMIT_RETRY_DELAY_S: Final = 0.15
+# What a result takes besides its text, stored or in a page.
+RESULT_OVERHEAD_BYTES: Final = 200
 # Upper bounds of what a checkpoint adds to the text of an event or item.
 EVENT_OVERHEAD_BYTES: Final = 5
 ITEM_OVERHEAD_BYTES: Final = 200
--- a/packages/pistachiospar/src/pistachiospar/submissions/keys.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/keys.py
@@ -41,6 +41,17 @@
     return f"{make_results_prefix(submission)}{position:06d}"
 
 
+def measure_longest_key(submission: str) -> int:
+    """Return the bytes of the longest key of a submission."""
+    keys = (
+        make_part_key(submission, 0),
+        make_owner_key(submission),
+        make_end_key(submission),
+        make_results_key(submission, 0),
+    )
+    return max(len(key.encode()) for key in keys)
+
+
 def parse_position(key: str) -> int:
     """Return the position of the first result stored under a key."""
     return int(key.rpartition("/")[2])
--- a/packages/pistachiospar/src/pistachiospar/submissions/reader.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/reader.py
@@ -20,6 +20,7 @@
 from ..ports.kv import KvError
 from ..ports.submissions import SubmissionPeer
 from .archive import Archive
+from .archive import measure_result
 from .models import ResultPage
 from .models import SampleResult
 from .models import Submission
@@ -258,7 +259,7 @@
     page: list[SampleResult] = []
     size = 0
     for result in results[after:]:
-        size += len(result.text) + 200
+        size += measure_result(result)
         if page and size > const.MAX_PAGE_BYTES:
             break
         page.append(result)
