--- a/features/relay.feature
+++ b/features/relay.feature
@@ -159,3 +159,30 @@
   Scenario: a sampler rejects calls, and sends each rejection again late
     When unsafe calls are rejected, and each rejection is sent again late
     Then none runs twice, and none that ran is refused
+
+  # A stream waited without limit for a sampler that sent nothing any more.
+  Scenario Outline: a sampler hangs after <events> events, <beside> beside it
+    When streams reach a sampler that hangs after <events> events, <beside> beside it
+    Then each has its end in time, and the next sampler's text where it may
+
+    Examples:
+      | events | beside  |
+      | 0      | one     |
+      | 2      | one     |
+      | 0      | nothing |
+      | 2      | nothing |
+
+  Scenario Outline: how long a stream waits where <load>
+    Then the limit of a silence is right where <load>
+
+    Examples:
+      | load                               |
+      | all are fast                       |
+      | all are slow alike                 |
+      | one of seven is slow               |
+      | prompts take long to read          |
+      | nothing is known                   |
+      | nothing is known, and time is long |
+      | no slot was free                   |
+      | little time is left                |
+      | a text that has begun              |
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 from behave import when
 from support import endless_load
 from support import fuzz_cases
+from support import hanging_samplers
 from support import late_copies
 from support import odd_entries
 from support import relay_cases
@@ -116,3 +117,24 @@
 def check_copies(context: Context) -> None:
     """Check runs and answers."""
     assert not context.faults, context.faults
+
+
+@when(
+    "streams reach a sampler that hangs after {events:d} events, {beside}"
+    " beside it"
+)
+def hang(context: Context, events: int, beside: str) -> None:
+    """Request streams."""
+    context.faults = hanging_samplers.find_faults(events, beside == "one")
+
+
+@then("each has its end in time, and the next sampler's text where it may")
+def check_hanging(context: Context) -> None:
+    """Check what callers got, and when."""
+    assert not context.faults, context.faults
+
+
+@then("the limit of a silence is right where {load}")
+def check_limit(context: Context, load: str) -> None:
+    """Check a decision."""
+    assert hanging_samplers.is_limit_right(load)
--- a/features/support/relay_cases.py
+++ b/features/support/relay_cases.py
@@ -23,6 +23,10 @@
 WHOLE = b"".join(EVENTS)
 EVENT_STREAM = "Content-Type: text/event-stream\r\n"
 STAMP = "Response-Stamp: s\r\n"
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
 
 def _encode_head(status: str, call_id: str, *lines: str) -> bytes:
--- a/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
+++ b/packages/pistachiospar/src/pistachiospar/adapters/http/client.py
@@ -229,7 +229,7 @@
                 raise ConnectionLostError(str(error)) from error
             if isinstance(event, h11.Event):
                 self._events_in_turn += 1
-                if self._events_in_turn > MAX_EVENTS_PER_TURN:
+                if self._events_in_turn >= MAX_EVENTS_PER_TURN:
                     # One read may have thousands of tiny chunks.
                     self._events_in_turn = 0
                     await trio.lowlevel.checkpoint()
--- a/packages/pistachiospar/src/pistachiospar/forwarding/const.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/const.py
@@ -59,3 +59,9 @@
 LIFETIME_RETRY_DELAY_S: Final = 0.3
 # Instances whose software version could not be recorded, for one stream.
 MAX_UNRECORDED_ATTEMPTS: Final = 2
+# An instance that sends nothing for this long, for this many times as long as
+# usual, and for this many spreads more, hangs. Samplers send an event every
+# 35 to 150 ms.
+MIN_SILENCE_S: Final = 1.2
+MIN_SILENCE_FACTOR: Final = 4.0
+SILENCE_SPREADS: Final = 6.0
--- a/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
+++ b/packages/pistachiospar/src/pistachiospar/forwarding/streams.py
@@ -6,6 +6,8 @@
 """
 
 from dataclasses import dataclass
+import math
+
 import trio
 
 from . import const
@@ -36,6 +38,9 @@
 from .models import ForwardCall
 from .selection import choose_permit_wait_s
 from .selection import InstanceSelector
+from .silences import Silence
+from .silences import SilenceKey
+from .silences import SilenceTable
 
 STATUS_OK = 200
 
@@ -79,6 +84,7 @@
         self._health = health
         self._crashes = crashes
         self._origins = origins
+        self._silences = SilenceTable()
 
     async def forward(
         self, call: ForwardCall, sink: CallerSink
@@ -281,9 +287,20 @@
             call.classify(instance.upstream),
             now,
         ) as open_call:
-            is_run = await self._relay_response(
-                call, sampler_call, instance, state, sink
+            silence = Silence(
+                self._silences,
+                SilenceKey(instance.upstream, call.route.name, True),
+                call.give_up_at,
+                open_call.is_queued,
             )
+            silence.begin(now, max_wait_s)
+            with silence.scope:
+                is_run = await self._relay_response(
+                    call, sampler_call, instance, state, sink, silence
+                )
+            if silence.scope.cancelled_caught:
+                state.may_have_run = True
+                raise UpstreamError(silence.describe())
         if is_run and state.last_event and not sampler_call.after_event:
             # A resumed stream costs less than the whole one.
             now = trio.current_time()
@@ -297,6 +314,7 @@
         instance: ListedInstance,
         state: StreamState,
         sink: CallerSink,
+        silence: Silence,
     ) -> bool:
         """Send a call and relay the response, as `_relay` does."""
         async with self._samplers.call(instance, sampler_call) as response:
@@ -322,6 +340,8 @@
                 state.started = True
                 await sink.start(response.status, response.headers)
             async for event in response.iter_events():
+                # The caller may take its time to read.
+                silence.end(trio.current_time())
                 if event.number != state.last_event + 1:
                     raise UpstreamError("stream events are out of order")
                 state.resume_until = float("inf")
@@ -331,6 +351,8 @@
                     await self._record_origin(call, instance, state)
                 await sink.write(event.raw)
                 state.last_event = event.number
+                silence.begin(trio.current_time())
+            silence.scope.deadline = math.inf
         await sink.finish()
         if call.fingerprint:
             self._crashes.record_response(call.fingerprint)
