Move the receive buffer and retirements into modules of their own

The buffer that responses share and the confirmations of retired instances stand by themselves now, with the same behaviour. The loader of submissions decides before it starts a task, so that a configuration starts none for those that stay.

--- a/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
+++ b/packages/pistachiospar/src/pistachiospar/gateway/coordinator.py
@@ -4,7 +4,6 @@
 from secrets import token_hex
 from typing import Protocol
 
-from result import Ok
 import trio
 
 from ..admission.coordinator import CallAdmission
@@ -48,7 +47,6 @@
 from ..submissions.reader import SubmissionReader
 from ..submissions.registry import SubmissionState
 from ..submissions.runner import ItemRunner
-from ..telemetry.logs import log_event
 from ..telemetry.metrics import Metrics
 from ..watch_relay.contact import StoreContact
 from ..watch_relay.coordinator import WatchRelay
@@ -57,6 +55,7 @@
 from .duties import GatewayDuties
 from .models import GatewayIdentity
 from .refusals import RefusalSender
+from .retirements import RetirementConfirmer
 from .routes import GatewayHandler
 from .submission_calls import SubmissionHandler
 
@@ -93,7 +92,6 @@
         """
         self.identity = identity
         metrics = self.metrics = Metrics()
-        self._keys = keys
         self.limits = InstanceLimits(
             identity.name, lambda: self.holders.list_members(), peer, metrics
         )
@@ -260,7 +258,7 @@
             identity.key_rules,
             self.metrics,
         )
-        self._confirmed_retirements: dict[str, int] = {}
+        self._retirements = RetirementConfirmer(self.kv, keys, self.directory)
         self._table_changed = trio.Event()
         self._table_version = 0
         self.directory.subscribe(self._handle_table_change)
@@ -331,7 +329,8 @@
                         nursery.start_soon(
                             self.holders.hold_pool, upstream.name, pool.run
                         )
-                await self._confirm_retirements()
+                if not all(is_duty(name) for name in self.holders.roles):
+                    await self._retirements.confirm()
                 names = set(self.directory.instances)
                 self._samplers.retain_only(names)
                 self.admission.rooms.retain_only(names)
@@ -339,19 +338,6 @@
                 with trio.move_on_after(const.POOL_CHECK_INTERVAL_S):
                     await self._table_changed.wait()
 
-    async def _confirm_retirements(self) -> None:
-        """Confirm requests to retire instances, which hold no state."""
-        if all(is_duty(name) for name in self.holders.roles):
-            return
-        for name, revision in list(self.directory.retiring.items()):
-            if self._confirmed_retirements.get(name) == revision:
-                continue
-            key = self._keys.prefix_retire_status + name
-            written = await self.kv.put_item(key, self._keys.encode_retired())
-            log_event("instance_released", instance=name, written=str(written))
-            if isinstance(written, Ok):
-                self._confirmed_retirements[name] = revision
-
     def _create_pool(self, name: str) -> PoolCoordinator:
         """Return a coordinator of a pool's submissions and weights."""
         versions = VersionCoordinator(
--- a/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/sampler_responses.py
@@ -4,10 +4,10 @@
 import re
 from typing import Final
 
-from ..adapters.http.client import HeldBytes
 from ..adapters.http.client import HttpStreamResponse
 from ..adapters.http.const import MAX_RESPONSE_BYTES
 from ..adapters.http.errors import HttpError
+from ..adapters.http.receive_buffer import HeldBytes
 from . import const
 from ..const import MEBIBYTE
 from ..ports.sampler import InstanceLoad
--- a/packages/pistachiospar/src/pistachiospar/platform/samplers.py
+++ b/packages/pistachiospar/src/pistachiospar/platform/samplers.py
@@ -12,11 +12,11 @@
 import trio
 
 from ..adapters.http.client import HttpPool
-from ..adapters.http.client import ReceiveBuffer
 from ..adapters.http.errors import ConnectError
 from ..adapters.http.errors import ConnectTimeoutError
 from ..adapters.http.errors import HttpError
 from ..adapters.http.errors import UnsendableError
+from ..adapters.http.receive_buffer import ReceiveBuffer
 from . import const
 from ..const import MEBIBYTE
 from ..helpers.decoding import DECODE_ERRORS
--- a/packages/pistachiospar/src/pistachiospar/submissions/loading.py
+++ b/packages/pistachiospar/src/pistachiospar/submissions/loading.py
@@ -150,11 +150,14 @@
                     version = self._directory.table.version
                     self._pending.update(dict.fromkeys(self._known))
                 for name in self._pending:
-                    if name not in self._settling:
-                        self._settling.add(name)
-                        nursery.start_soon(
-                            self._settle_contained, name, role, limiter
-                        )
+                    if name in self._settling:
+                        continue
+                    if self._decide(name) is OwnerStep.KEEP:
+                        continue
+                    self._settling.add(name)
+                    nursery.start_soon(
+                        self._settle_contained, name, role, limiter
+                    )
                 self._pending.clear()
                 await self._changed.wait()
 
@@ -163,8 +166,6 @@
     ) -> None:
         """Settle a submission; one that fails must not hold up the others."""
         try:
-            if self._decide(name) is OwnerStep.KEEP:
-                return
             async with limiter:
                 with contain_errors("submission", submission=name):
                     await self._settle(name, role)
