Move the rollout route between two pools in the soak

The soak had one pool, and its configurations never moved a route, so that open submissions whose pool changes were never run beside kills and cuts. It has two instances of a second pool now, and a task with random numbers of its own moves the route, half the time with its models; the other faults of a seed stay the same.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,8 +9,9 @@
 resets and refuses connections; instances crash, cut streams and slow down.
 What callers and instances saw is checked as in features/submissions.feature.
 The samplers have two software versions; callers whose streams break off resume
-them at any gateway. Calls run under their organisation only; a key that was
-removed, or never held, is refused at the end; usage reports never differ.
+them at any gateway. The rollout route moves between two pools. Calls run
+under their organisation only; a key that was removed, or never held, is
+refused at the end; usage reports never differ.
 
 With --series, signals, restarts and changes of the configuration hit the same
 gateway one after the other and overlap, and callers use their connections
@@ -42,8 +43,11 @@
 from pistachiospar.adapters.http.models import HttpRequest
 from pistachiospar.adapters.http.server import HttpServer
 from pistachiospar_standins.fakes.cloud import FakeCloud
+from pistachiospar_standins.fakes.gateway_fleet import APP
 from pistachiospar_standins.fakes.gateway_fleet import GatewayFleet
 from pistachiospar_standins.fakes.gateway_fleet import GatewayPlan
+from pistachiospar_standins.fakes.gateway_fleet import OTHER_POOL
+from pistachiospar_standins.fakes.gateway_fleet import POOL
 from pistachiospar_standins.fakes.recorders import ResponseRecorder
 from pistachiospar_standins.platform.sampler import SamplerHandler
 from pistachiospar_standins.platform.store import PlatformStoreHandler
@@ -54,6 +58,7 @@
 from .soak_duties import find_duty_violations
 from .soak_duties import WINDOW_S
 from .soak_faults import FAULTS
+from .soak_faults import move_rollouts
 from .soak_faults import SERIES_FAULTS
 from .soak_keys import AUTHORIZATION
 from .soak_keys import find_key_violations
@@ -84,6 +89,9 @@
 PR_SET_PDEATHSIG = 1
 _LIBC = ctypes.CDLL(None)
 SOFTWARE_VERSIONS = ("v1", "v2")
+# By the first letter of an instance's name.
+UPSTREAMS = {"s": POOL, "o": OTHER_POOL, "a": APP}
+OTHER_SAMPLERS = 2
 
 
 class SoakFleet(GatewayFleet):
@@ -117,7 +125,8 @@
                 HttpServer(DutyHandler(self.cloud).handle).handle_connection,
             )
             self.write_configuration()
-            for kind, count in (("s", 4), ("a", 2)):
+            kinds = (("s", 4), ("o", self.plan.other_samplers), ("a", 2))
+            for kind, count in kinds:
                 for number in range(count):
                     await self._serve_sampler(nursery, f"{kind}{number}")
             nursery.start_soon(self._update_instance_list)
@@ -188,7 +197,7 @@
         return recorder
 
     async def _serve_sampler(self, nursery: trio.Nursery, name: str) -> None:
-        upstream = "pool" if name[0] == "s" else "app"
+        upstream = UPSTREAMS[name[0]]
         software = SOFTWARE_VERSIONS[int(name[1:]) % 2]
         self.add_sampler(name, upstream, software)
         server = HttpServer(SamplerHandler(self.cluster, name).handle)
@@ -293,6 +302,7 @@
         seed=seed,
         tenants=TENANTS,
         public_routes=("score",),
+        other_samplers=OTHER_SAMPLERS,
     )
     fleet = SoakFleet(plan, folder)
     async with fleet.serve():
@@ -305,6 +315,8 @@
                 return trio.current_time() > over_at
 
             nursery.start_soon(fleet.streams.run, is_over)
+            moves_rng = Random(f"moves {seed}")
+            nursery.start_soon(move_rollouts, fleet, moves_rng, is_over)
             if series:
                 nursery.start_soon(fleet.call_kept, is_over)
             for model in plan.models:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -7,6 +7,9 @@
 import subprocess
 from typing import Protocol
 
+from pistachiospar_standins.fakes.gateway_fleet import OTHER_POOL
+from pistachiospar_standins.fakes.gateway_fleet import POOL
+from pistachiospar_standins.fakes.gateway_plan import GatewayPlan
 import trio
 
 from .soak_callers import KeptConnections
@@ -19,6 +22,7 @@
     processes: dict[str, subprocess.Popen[bytes]]
     faults: dict[str, ProxyFaults]
     kept: KeptConnections
+    plan: GatewayPlan
 
     def start_process(self, name: str) -> None:
         """Start a gateway's process, unless it runs."""
@@ -105,6 +109,22 @@
         await trio.sleep(rng.uniform(0.0, 0.5))
 
 
+async def move_rollouts(
+    fleet: SoakedFleet, rng: Random, is_over: Callable[[], bool]
+) -> None:
+    """Move the rollout route between pools, half the time with its models.
+
+    `rng` is its own, so that a seed's other faults stay the same.
+    """
+    while not is_over():
+        await trio.sleep(rng.uniform(1.0, 6.0))
+        upstream = rng.choice([POOL, OTHER_POOL])
+        pools = [upstream] if rng.random() < 0.5 else [POOL, OTHER_POOL]
+        fleet.plan.rollout_upstream = upstream
+        fleet.plan.pool_models = dict.fromkeys(pools, fleet.plan.models)
+        fleet.write_configuration()
+
+
 FAULTS: list[Fault] = [
     kill_and_restart,
     kill_and_restart,
