Let a sampler of the relay rows be reset by the gateway

Trace: the stand-in's receive_some got ECONNRESET, since the gateway had closed the connection with bytes unread, and the error left the stand-in's nursery. The gateway did what the row asks for.

run_gateway now ends a stand-in's handler where its connection is reset; what callers get and what the gateway holds is checked as before.

--- a/features/support/relay_harness.py
+++ b/features/support/relay_harness.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from contextlib import AsyncExitStack
+from contextlib import suppress
 from dataclasses import dataclass
 from random import Random
 
@@ -82,6 +83,16 @@
     )
 
 
+def _tolerate_resets(handle: Sampler) -> Sampler:
+    """Return a sampler that ends where the gateway resets a connection."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            await handle(stream)
+
+    return serve
+
+
 @asynccontextmanager
 async def run_gateway(samplers: list[Sampler]) -> AsyncIterator[RelayGateway]:
     """Serve callers with a gateway before some samplers."""
@@ -89,7 +100,9 @@
     fleet.store.write(const.KEY_CONFIG, _make_configuration(), 0, 0.0)
     async with AsyncExitStack() as stack:
         for number, handle in enumerate(samplers):
-            address = await stack.enter_async_context(serve_loopback(handle))
+            address = await stack.enter_async_context(
+                serve_loopback(_tolerate_resets(handle))
+            )
             fleet.addresses[f"s{number}"] = str(address)
             fleet.add_sampler(f"s{number}", POOL)
             fleet.cluster.samplers[f"s{number}"].started_ms = BORN_MS
