--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -911,13 +911,21 @@
 
 
 async def run_case(play, *arguments):
-    """Play a case; the return is the exit status of `run.sh`."""
+    """Play a case; the return is the exit status of `run.sh`.
+
+    SIGTERM ends it too, and with it all processes that it started.
+    """
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(110):
             return await play(*arguments)
     except TimeoutError:
         print("could not run: out of time")
         return 2
+    except asyncio.CancelledError:
+        print("could not run: ended from outside")
+        return 2
     except Exception as error:
         # Exit status 1 says that the rule was broken, and nothing else.
         print(f"could not run: {error!r}")
